--- /dev/null
+++ b/src/main/java/dev/windbend/daemon/Node.java
@@ -0,0 +1,331 @@
+package dev.windbend.daemon;
+
+import dev.windbend.daemon.io.Json;
+import dev.windbend.daemon.io.Loop;
+import dev.windbend.daemon.io.Names;
+import dev.windbend.daemon.io.Web;
+import dev.windbend.job.JobDoor;
+import dev.windbend.job.JobRecord;
+import dev.windbend.job.JobSpec;
+import dev.windbend.machine.Catalog;
+import dev.windbend.machine.CloudClient;
+import dev.windbend.machine.HireRecord;
+import dev.windbend.machine.MachineType;
+import dev.windbend.overload.Gate;
+import dev.windbend.part.Claims;
+import dev.windbend.part.Facts;
+import dev.windbend.part.Layout;
+import dev.windbend.part.Owner;
+import dev.windbend.part.Policy;
+import dev.windbend.peer.Peers;
+import dev.windbend.plan.Estimates;
+import dev.windbend.store.Replica;
+import dev.windbend.store.StoreClient;
+import dev.windbend.store.Stored;
+import dev.windbend.worker.WorkerMessages;
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.Measurement;
+import io.micrometer.core.instrument.Meter;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import it.unimi.dsi.fastutil.objects.Object2DoubleOpenHashMap;
+import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+/** One controller: its slices wired together, and the door to each. Runs on one loop. */
+public final class Node implements Claims.Listener {
+  private static final String EVERYTHING = "w/";
+  private static final int FORMER_KEPT = 2_000;
+  private static final long STALE_MS = 3_000;
+
+  private final Settings settings;
+  private final Policy policy;
+  private final Loop loop;
+  private final StoreClient store;
+  private final CloudClient cloud;
+  private final Catalog catalog;
+  private final Replica replica;
+  private final Layout layout;
+  private final Claims claims;
+  private final Peers peers;
+  private final Facts facts;
+  private final Gate gate;
+  private final Estimates estimates = new Estimates();
+  private final Names images = new Names();
+  private final Map<Integer, Owner> owners = new LinkedHashMap<>();
+  private final Object2IntOpenHashMap<String> partOfMachine = new Object2IntOpenHashMap<>();
+  private final Map<String, List<String>> machinesOfHire = new HashMap<>();
+  private final Map<String, Boolean> former =
+      new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+          return size() > FORMER_KEPT;
+        }
+      };
+  private final MeterRegistry meters = new SimpleMeterRegistry();
+  private final Map<Integer, Counter> answered = new HashMap<>();
+
+  public Node(Settings settings, Policy policy, Loop loop, Web web) {
+    this.settings = settings;
+    this.policy = policy;
+    this.loop = loop;
+    Settings.Facts f = settings.facts();
+    List<String> nodes = new ArrayList<>(List.of(settings.node()));
+    List<String> addresses = new ArrayList<>();
+    for (Settings.Seed p : settings.peers()) {
+      nodes.add(p.node());
+      addresses.add(p.address());
+    }
+    int size = Math.max(f.nodes(), nodes.size());
+    this.store =
+        new StoreClient(
+            loop,
+            web,
+            settings.services().state(),
+            f.state().rps(),
+            f.state().writeRps(),
+            f.state().ops(),
+            size);
+    this.cloud = new CloudClient(loop, web, settings.services().cloud(), f.cloud().rps(), size);
+    this.catalog = new Catalog(loop, cloud, f.zones());
+    this.replica = new Replica(loop, store, EVERYTHING);
+    this.layout = new Layout(f.teams().stream().map(Settings.Team::name).toList(), nodes);
+    this.claims = new Claims(loop, store, replica, layout, settings.node(), policy.holdMs(), this);
+    this.peers = new Peers(loop, web, store, addresses);
+    this.facts = facts(settings, size);
+    this.gate = new Gate(loop, new JobDoor(loop, store, this::judge)::handle);
+    partOfMachine.defaultReturnValue(-1);
+    replica.listen(this::changed);
+    Gauge.builder("windbend.parts", owners, Map::size).register(meters);
+    Gauge.builder("windbend.jobs.live", this, n -> n.sum(Owner::liveJobs)).register(meters);
+    Gauge.builder("windbend.machines", this, n -> n.sum(Owner::machineCount)).register(meters);
+    Gauge.builder("windbend.store.failing.ms", store, StoreClient::failingForMs).register(meters);
+  }
+
+  private int sum(java.util.function.ToIntFunction<Owner> what) {
+    return owners.values().stream().mapToInt(what).sum();
+  }
+
+  private static Facts facts(Settings settings, int size) {
+    Settings.Facts f = settings.facts();
+    Object2DoubleOpenHashMap<String> within = new Object2DoubleOpenHashMap<>();
+    for (Settings.Objective o : settings.objectives()) {
+      if ("finished".equals(o.kind()) && o.jobKind() != null && o.withinS() != null) {
+        within.mergeDouble(o.jobKind(), o.withinS(), Math::min);
+      }
+    }
+    return new Facts(
+        f.teams().stream()
+            .map(
+                t ->
+                    new Facts.TeamFact(
+                        t.name(), t.cores(), t.coresMost(), t.cards(), t.cardsMost()))
+            .toList(),
+        size,
+        f.workers().reportS(),
+        f.workers().leaseS(),
+        f.workers().cancelS(),
+        Math.max(1, f.cloud().listLagS()),
+        f.cloud().rps(),
+        within);
+  }
+
+  public void start() {
+    catalog.start();
+    replica.start();
+    claims.start();
+    peers.start();
+  }
+
+  // ---- ownership
+
+  @Override
+  public void won(int part, long token) {
+    Owner o =
+        new Owner(
+            part,
+            token,
+            loop,
+            store,
+            cloud,
+            replica,
+            layout,
+            catalog,
+            facts,
+            policy,
+            claims,
+            estimates,
+            images,
+            peers::othersServed);
+    owners.put(part, o);
+    o.start();
+  }
+
+  @Override
+  public void lost(int part) {
+    Owner o = owners.remove(part);
+    if (o != null) {
+      o.close();
+    }
+  }
+
+  private void changed(String key, Stored now) {
+    if (key.startsWith(JobRecord.LIVE)) {
+      String uid = key.substring(JobRecord.LIVE.length());
+      for (Owner o : List.copyOf(owners.values())) {
+        o.jobChanged(uid, now);
+      }
+    } else if (key.startsWith(HireRecord.KEYS)) {
+      int part =
+          Integer.parseInt(
+              key.substring(HireRecord.KEYS.length(), key.indexOf('/', HireRecord.KEYS.length())));
+      HireRecord r = now == null ? null : Json.read(now.value(), HireRecord.class);
+      List<String> names = r == null || r.machines() == null ? List.of() : r.machines();
+      List<String> before =
+          names.isEmpty() ? machinesOfHire.remove(key) : machinesOfHire.put(key, names);
+      if (before != null) {
+        for (String m : before) {
+          partOfMachine.removeInt(m);
+          former.put(m, true);
+        }
+      }
+      for (String m : names) {
+        partOfMachine.put(m, part);
+        former.remove(m);
+      }
+    }
+  }
+
+  // ---- doors
+
+  /** What users, workers and health checks reach. */
+  public void serve(Web.Request request, Consumer<Web.Answer> done) {
+    Consumer<Web.Answer> counted =
+        a -> {
+          answered
+              .computeIfAbsent(
+                  a.status(),
+                  s ->
+                      Counter.builder("windbend.answers")
+                          .tag("status", Integer.toString(s))
+                          .register(meters))
+              .increment();
+          done.accept(a);
+        };
+    String path = request.path();
+    if (path.equals("/hello")) {
+      method("POST", request, counted, () -> hello(request.body(), counted));
+    } else if (path.equals("/up")) {
+      method("GET", request, counted, () -> counted.accept(Web.Answer.bare(up() ? 200 : 503)));
+    } else if (JobDoor.serves(path)) {
+      gate.handle(request, counted);
+    } else {
+      counted.accept(Web.Answer.bare(404));
+    }
+  }
+
+  /** What the other nodes and operators reach. */
+  public void servePeer(Web.Request request, Consumer<Web.Answer> done) {
+    switch (request.path()) {
+      case Peers.PATH -> method("GET", request, done, () -> done.accept(peers.view()));
+      case "/metrics" ->
+          method("GET", request, done, () -> done.accept(Web.Answer.of(200, metrics())));
+      default -> done.accept(Web.Answer.bare(404));
+    }
+  }
+
+  private static void method(
+      String wanted, Web.Request request, Consumer<Web.Answer> done, Runnable handler) {
+    if (request.method().equals(wanted)) {
+      handler.run();
+    } else {
+      done.accept(Web.Answer.bare(405));
+    }
+  }
+
+  /** Not in an outage: then no node is better than another, and 503 says when to come back. */
+  private boolean up() {
+    return replica.synced()
+        && catalog.known()
+        && !(store.failingForMs() > STALE_MS && peers.othersServed());
+  }
+
+  private Map<String, Double> metrics() {
+    Map<String, Double> all = new TreeMap<>();
+    for (Meter m : meters.getMeters()) {
+      StringBuilder name = new StringBuilder(m.getId().getName());
+      m.getId().getTags().forEach(t -> name.append('.').append(t.getValue()));
+      for (Measurement v : m.measure()) {
+        all.put(name + "." + v.getStatistic().getTagValueRepresentation(), v.getValue());
+      }
+    }
+    return all;
+  }
+
+  /** Null: can't tell before the machine types are known. */
+  private JobDoor.Verdict judge(JobSpec spec) {
+    int team = layout.team(spec.team());
+    if (team < 0) {
+      return new JobDoor.Verdict("unknown team");
+    }
+    if (!catalog.known()) {
+      return null;
+    }
+    Settings.Team t = settings.facts().teams().get(team);
+    if (spec.cores() > t.coresMost() + 1e-9 || spec.cards() > t.cardsMost() + 1e-9) {
+      return new JobDoor.Verdict("one task is over the team's limit");
+    }
+    for (MachineType type : catalog.all()) {
+      boolean named = spec.types() == null || spec.types().contains(type.name());
+      boolean there =
+          spec.zone() == null
+              || catalog.zones.find(spec.zone()) >= 0 && type.in(catalog.zones.find(spec.zone()));
+      if (named && there && type.fits(spec.cores(), spec.cards(), spec.ram())) {
+        return new JobDoor.Verdict(null);
+      }
+    }
+    return new JobDoor.Verdict("a task fits no allowed machine type");
+  }
+
+  // ---- workers
+
+  private void hello(byte[] body, Consumer<Web.Answer> done) {
+    WorkerMessages.Report r = Json.read(body, WorkerMessages.Report.class);
+    if (r == null || !r.valid()) {
+      done.accept(Web.Answer.bare(400));
+      return;
+    }
+    int part = partOfMachine.getInt(r.machine());
+    for (Owner o : owners.values()) {
+      if (o.ready() && o.has(r.machine())) {
+        o.report(r, done);
+        return;
+      }
+    }
+    // Strays are the first part's to take in.
+    int home = Math.max(part, 0);
+    Owner mine = owners.get(home);
+    if (mine == null) {
+      String owner = claims.owner(home);
+      done.accept(
+          owner == null || owner.equals(settings.node())
+              ? Web.Answer.bare(503)
+              : Web.Answer.of(421, new WorkerMessages.Elsewhere(owner)));
+      return;
+    }
+    if (part < 0 && !former.containsKey(r.machine()) && mine.adopt(r) && mine.has(r.machine())) {
+      mine.report(r, done);
+      return;
+    }
+    done.accept(Web.Answer.bare(503));
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/windbend/daemon/Operator.java
@@ -0,0 +1,90 @@
+package dev.windbend.daemon;
+
+import dev.windbend.part.Policy;
+import java.io.IOException;
+import java.io.StringReader;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.ini4j.Ini;
+import org.ini4j.Profile;
+
+/** The operators' own settings, an INI file; every one has a default. */
+public final class Operator {
+  private Operator() {}
+
+  public static Policy defaults() {
+    try {
+      return parse("");
+    } catch (Settings.Invalid e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  public static Policy read(Path file) throws Settings.Invalid {
+    try {
+      return parse(Files.readString(file));
+    } catch (IOException e) {
+      throw new Settings.Invalid("cannot read " + file + ": " + e.getMessage());
+    }
+  }
+
+  static Policy parse(String text) throws Settings.Invalid {
+    Ini ini = new Ini();
+    try {
+      ini.load(new StringReader(text));
+    } catch (IOException e) {
+      throw new Settings.Invalid("not INI: " + e.getMessage());
+    }
+    return new Policy(
+        millis(ini, "plan", "period_s", 10, 0.5),
+        flag(ini, "plan", "rounds_on_events", true),
+        millis(ini, "plan", "block_s", 60, 1),
+        number(ini, "plan", "implied_due", 4, 1),
+        millis(ini, "part", "hold_s", 6, 1),
+        flag(ini, "plan", "due_from_aims", true));
+  }
+
+  private static String get(Ini ini, String section, String key) {
+    Profile.Section s = ini.get(section);
+    return s == null ? null : s.get(key);
+  }
+
+  private static long millis(Ini ini, String section, String key, double or, double least)
+      throws Settings.Invalid {
+    return Math.round(1000 * number(ini, section, key, or, least));
+  }
+
+  private static double number(Ini ini, String section, String key, double or, double least)
+      throws Settings.Invalid {
+    String text = get(ini, section, key);
+    if (text == null) {
+      return or;
+    }
+    try {
+      double v = Double.parseDouble(text.trim());
+      if (v >= least && v <= 86_400) {
+        return v;
+      }
+    } catch (NumberFormatException e) {
+      // said below
+    }
+    throw new Settings.Invalid(
+        "[" + section + "] " + key + " must be a number of at least " + least + ": " + text);
+  }
+
+  private static boolean flag(Ini ini, String section, String key, boolean or)
+      throws Settings.Invalid {
+    String text = get(ini, section, key);
+    if (text == null) {
+      return or;
+    }
+    switch (text.trim()) {
+      case "true":
+        return true;
+      case "false":
+        return false;
+      default:
+        throw new Settings.Invalid("[" + section + "] " + key + " must be true or false: " + text);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/windbend/daemon/io/Loop.java
@@ -0,0 +1,27 @@
+package dev.windbend.daemon.io;
+
+/** The one thread that owns all state: its clocks and its timers. Tests put virtual time here. */
+public interface Loop {
+  /** Steady clock; only differences mean anything. */
+  long nowMs();
+
+  /** Time of day, within the bound the settings give. */
+  long wallMs();
+
+  Timer after(long delayMs, Runnable task);
+
+  /** Runs the task again and again, the given pause after each run. */
+  default void every(long pauseMs, Runnable task) {
+    after(
+        pauseMs,
+        () -> {
+          task.run();
+          every(pauseMs, task);
+        });
+  }
+
+  /** A timer that has not fired yet. */
+  interface Timer {
+    void cancel();
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/windbend/job/JobDoor.java
@@ -0,0 +1,285 @@
+package dev.windbend.job;
+
+import dev.windbend.daemon.io.Json;
+import dev.windbend.daemon.io.Loop;
+import dev.windbend.daemon.io.Web;
+import dev.windbend.store.Draft;
+import dev.windbend.store.StoreClient;
+import dev.windbend.store.Stored;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The users' API, on every node alike: what it answers is read from, or was just written to, the
+ * state service, so no node can give an older answer than another has given.
+ */
+public final class JobDoor {
+  private static final Logger LOG = LoggerFactory.getLogger(JobDoor.class);
+  private static final String JOBS = "/v1/jobs";
+  private static final int ENDED_KEPT = 5_000;
+  private static final int CANCEL_TRIES = 8;
+
+  private final Loop loop;
+  private final StoreClient store;
+  private final Fitness fitness;
+  private final ArrayDeque<Accepting> accepting = new ArrayDeque<>();
+  private final Map<String, JobRecord.Ended> ended =
+      new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, JobRecord.Ended> eldest) {
+          return size() > ENDED_KEPT;
+        }
+      };
+  private boolean writing;
+
+  /** Says whether a job could ever run; null if that can't be told yet. */
+  public interface Fitness {
+    Verdict judge(JobSpec spec);
+  }
+
+  /** Why a job can never run; null: it can. */
+  public record Verdict(String never) {}
+
+  private record Accepting(JobRecord.Live record, Consumer<Web.Answer> done) {}
+
+  /** What the state service surely knows of a job. Both null: no such job. */
+  private record Found(boolean sure, Stored live, JobRecord.Ended over) {}
+
+  public JobDoor(Loop loop, StoreClient store, Fitness fitness) {
+    this.loop = loop;
+    this.store = store;
+    this.fitness = fitness;
+  }
+
+  public static boolean serves(String path) {
+    return path.equals(JOBS) || path.startsWith(JOBS + "/");
+  }
+
+  public void handle(Web.Request request, Consumer<Web.Answer> done) {
+    String rest = request.path().substring(JOBS.length());
+    if (rest.isEmpty()) {
+      only("POST", request, done, () -> submit(request.body(), done));
+      return;
+    }
+    String[] parts = rest.substring(1).split("/", -1);
+    if (parts.length == 1) {
+      only("GET", request, done, () -> poll(parts[0], done));
+    } else if (parts.length == 2 && parts[1].equals("cancel")) {
+      only("POST", request, done, () -> cancel(parts[0], CANCEL_TRIES, done));
+    } else {
+      done.accept(Web.Answer.bare(404));
+    }
+  }
+
+  private static void only(
+      String method, Web.Request request, Consumer<Web.Answer> done, Runnable handler) {
+    if (request.method().equals(method)) {
+      handler.run();
+    } else {
+      done.accept(Web.Answer.bare(405));
+    }
+  }
+
+  private void submit(byte[] body, Consumer<Web.Answer> done) {
+    JobSpec spec;
+    try {
+      spec = Intake.read(body);
+    } catch (Intake.Malformed e) {
+      done.accept(problem(400, e.getMessage()));
+      return;
+    }
+    Verdict verdict = fitness.judge(spec);
+    if (verdict == null) {
+      done.accept(Web.Answer.later(1));
+      return;
+    }
+    if (verdict.never() != null) {
+      // It may have been accepted when the machine types or teams were others: then it stands.
+      find(
+          spec.uid(),
+          found -> {
+            if (!found.sure()) {
+              done.accept(Web.Answer.later(1));
+            } else if (found.live() == null && found.over() == null) {
+              done.accept(problem(422, verdict.never()));
+            } else {
+              done.accept(status(spec.uid(), found));
+            }
+          });
+      return;
+    }
+    accepting.add(new Accepting(new JobRecord.Live(spec, loop.wallMs(), false, null), done));
+    write();
+  }
+
+  /** Group commit: all that came while the last write was under way goes together. */
+  private void write() {
+    if (writing || accepting.isEmpty()) {
+      return;
+    }
+    List<Accepting> group = new ArrayList<>();
+    Draft draft = new Draft();
+    Map<String, Boolean> uids = new LinkedHashMap<>();
+    while (!accepting.isEmpty() && group.size() < store.opsLimit()) {
+      String uid = accepting.peek().record().spec().uid();
+      if (uids.putIfAbsent(uid, true) != null) {
+        break; // the same job twice: the second goes later and finds the first
+      }
+      Accepting a = accepting.poll();
+      draft.when(JobRecord.LIVE + uid, 0).when(JobRecord.ENDED + uid, 0);
+      draft.put(JobRecord.LIVE + uid, a.record());
+      group.add(a);
+    }
+    writing = true;
+    store.commit(
+        draft,
+        outcome -> {
+          writing = false;
+          switch (outcome.kind()) {
+            case DONE ->
+                group.forEach(
+                    a -> {
+                      LOG.debug("accepted {}", a.record().spec().uid());
+                      a.done()
+                          .accept(
+                              Web.Answer.of(
+                                  201,
+                                  new UserMessages.Status(
+                                      a.record().spec().uid(), Statuses.PENDING, null, null)));
+                    });
+            case CONFLICT ->
+                group.forEach(
+                    a -> {
+                      String uid = a.record().spec().uid();
+                      if (outcome.failed().contains(JobRecord.LIVE + uid)
+                          || outcome.failed().contains(JobRecord.ENDED + uid)) {
+                        poll(uid, a.done());
+                      } else {
+                        accepting.add(a);
+                      }
+                    });
+            default -> group.forEach(a -> a.done().accept(Web.Answer.later(1)));
+          }
+          write();
+        });
+  }
+
+  private void poll(String uid, Consumer<Web.Answer> done) {
+    if (!Intake.isUid(uid)) {
+      done.accept(Web.Answer.bare(404));
+      return;
+    }
+    find(uid, found -> done.accept(status(uid, found)));
+  }
+
+  private void cancel(String uid, int tries, Consumer<Web.Answer> done) {
+    if (!Intake.isUid(uid)) {
+      done.accept(Web.Answer.bare(404));
+      return;
+    }
+    find(
+        uid,
+        found -> {
+          JobRecord.Live live = live(found);
+          if (live == null || live.cancelled()) {
+            done.accept(status(uid, found));
+            return;
+          }
+          String key = JobRecord.LIVE + uid;
+          Draft draft = new Draft().when(key, found.live().version());
+          draft.put(
+              key, new JobRecord.Live(live.spec(), live.submittedWallMs(), true, live.piece()));
+          store.commit(
+              draft,
+              outcome -> {
+                if (outcome.done()) {
+                  LOG.info("cancelled {}", uid);
+                  done.accept(
+                      Web.Answer.of(
+                          200, new UserMessages.Status(uid, Statuses.CANCELLED, null, null)));
+                } else if (outcome.kind() == dev.windbend.store.Outcome.Kind.CONFLICT
+                    && tries > 1) {
+                  cancel(uid, tries - 1, done);
+                } else {
+                  done.accept(Web.Answer.later(1));
+                }
+              });
+        });
+  }
+
+  private static JobRecord.Live live(Found found) {
+    return found.sure() && found.live() != null
+        ? Json.read(found.live().value(), JobRecord.Live.class)
+        : null;
+  }
+
+  /** Reads the live key, then the final one: jobs move only that way, so one of both shows it. */
+  private void find(String uid, Consumer<Found> done) {
+    JobRecord.Ended known = ended.get(uid);
+    if (known != null) {
+      done.accept(new Found(true, null, known));
+      return;
+    }
+    store.get(
+        JobRecord.LIVE + uid,
+        got -> {
+          if (!got.sure() || got.status() == 200) {
+            done.accept(new Found(got.sure(), got.stored(), null));
+            return;
+          }
+          store.get(
+              JobRecord.ENDED + uid,
+              last -> {
+                JobRecord.Ended over =
+                    last.status() == 200
+                        ? Json.read(last.stored().value(), JobRecord.Ended.class)
+                        : null;
+                if (over != null) {
+                  ended.put(uid, over);
+                }
+                done.accept(new Found(last.status() == 404 || over != null, null, over));
+              });
+        });
+  }
+
+  private static Web.Answer status(String uid, Found found) {
+    if (!found.sure()) {
+      return Web.Answer.later(1);
+    }
+    if (found.over() != null) {
+      return Web.Answer.of(
+          200, new UserMessages.Status(uid, found.over().status(), found.over().done(), 0));
+    }
+    if (found.live() == null) {
+      return Web.Answer.bare(404);
+    }
+    JobRecord.Live live = live(found);
+    if (live == null) {
+      return Web.Answer.later(1);
+    }
+    int done = 0;
+    int running = 0;
+    if (live.piece() != null) {
+      done =
+          live.piece().done() == null
+              ? 0
+              : java.util.BitSet.valueOf(live.piece().done()).cardinality();
+      running = live.piece().placed() == null ? 0 : live.piece().placed().length / 3;
+    }
+    String status =
+        live.cancelled() ? Statuses.CANCELLED : running > 0 ? Statuses.RUNNING : Statuses.PENDING;
+    return Web.Answer.of(200, new UserMessages.Status(uid, status, done, running));
+  }
+
+  private static Web.Answer problem(int status, String why) {
+    return Web.Answer.of(status, new UserMessages.Problem(why));
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/windbend/job/Urgency.java
@@ -0,0 +1,9 @@
+package dev.windbend.job;
+
+/** Priorities, the highest first. */
+public enum Urgency {
+  PRODUCTION,
+  URGENT,
+  STANDARD,
+  IDLE
+}
--- /dev/null
+++ b/src/main/java/dev/windbend/job/UserMessages.java
@@ -0,0 +1,40 @@
+package dev.windbend.job;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import com.fasterxml.jackson.databind.JsonNode;
+
+/** The users' wire format. */
+final class UserMessages {
+  private UserMessages() {}
+
+  /** Fields stay trees here: their types are checked one by one. */
+  record Submission(
+      @JsonProperty("uid") JsonNode uid,
+      @JsonProperty("fleet") JsonNode kind,
+      @JsonProperty("crew") JsonNode team,
+      @JsonProperty("shape") JsonNode shape,
+      @JsonProperty("urgency") JsonNode urgency,
+      @JsonProperty("drops") JsonNode tasks,
+      @JsonProperty("cores") JsonNode cores,
+      @JsonProperty("cards") JsonNode cards,
+      @JsonProperty("ram_gb") JsonNode ram,
+      @JsonProperty("load") JsonNode image,
+      @JsonProperty("pull_gb") JsonNode imageGb,
+      @JsonProperty("rigs") JsonNode types,
+      @JsonProperty("yard") JsonNode zone,
+      @JsonProperty("together") JsonNode together,
+      @JsonProperty("spread") JsonNode spread,
+      @JsonProperty("standby") JsonNode spot,
+      @JsonProperty("haul_s") JsonNode estimateS,
+      @JsonProperty("waypoint_s") JsonNode checkpointS,
+      @JsonProperty("stow_s") JsonNode saveS,
+      @JsonProperty("due_s") JsonNode dueS) {}
+
+  record Status(
+      @JsonProperty("uid") String uid,
+      @JsonProperty("status") String status,
+      @JsonProperty("done") Integer done,
+      @JsonProperty("running") Integer running) {}
+
+  record Problem(@JsonProperty("error") String error) {}
+}
--- /dev/null
+++ b/src/main/java/dev/windbend/machine/Catalog.java
@@ -0,0 +1,79 @@
+package dev.windbend.machine;
+
+import dev.windbend.daemon.io.Loop;
+import dev.windbend.daemon.io.Names;
+import java.util.ArrayList;
+import java.util.List;
+
+/** The machine types on offer at present prices, by dense index. */
+public final class Catalog {
+  private static final long FRESH_MS = 30_000;
+  private static final long RETRY_MS = 1_000;
+
+  public final Names zones = new Names();
+  private final Names typeNames = new Names();
+  private final List<MachineType> types = new ArrayList<>();
+  private final Loop loop;
+  private final CloudClient cloud;
+
+  public Catalog(Loop loop, CloudClient cloud, List<String> zoneNames) {
+    this.loop = loop;
+    this.cloud = cloud;
+    zoneNames.forEach(zones::index);
+  }
+
+  public void start() {
+    cloud.types(
+        got -> {
+          if (got != null) {
+            got.forEach(this::learn);
+          }
+          loop.after(got == null ? RETRY_MS : FRESH_MS, this::start);
+        });
+  }
+
+  void learn(CloudMessages.Type t) {
+    int i = typeNames.index(t.name());
+    int[] at = t.zones() == null ? new int[0] : t.zones().stream().mapToInt(zones::index).toArray();
+    MachineType type =
+        new MachineType(
+            i,
+            t.name(),
+            t.cores(),
+            t.cards(),
+            t.ram(),
+            t.cacheGb(),
+            t.fetchGbPerS(),
+            t.price(),
+            t.spotPrice(),
+            t.bootS(),
+            at);
+    if (i < types.size()) {
+      types.set(i, type);
+    } else {
+      types.add(type);
+    }
+  }
+
+  public boolean known() {
+    return !types.isEmpty();
+  }
+
+  public List<MachineType> all() {
+    return types;
+  }
+
+  public MachineType type(int index) {
+    return types.get(index);
+  }
+
+  /** Null if there is no such type. */
+  public MachineType find(String name) {
+    int i = typeNames.find(name);
+    return i < 0 ? null : types.get(i);
+  }
+
+  public double longestBootS() {
+    return types.stream().mapToDouble(MachineType::bootS).max().orElse(0);
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/windbend/machine/CloudMessages.java
@@ -0,0 +1,43 @@
+package dev.windbend.machine;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import java.util.List;
+
+/** The cloud's wire format. */
+final class CloudMessages {
+  private CloudMessages() {}
+
+  record Types(@JsonProperty("rigs") List<Type> types) {}
+
+  record Type(
+      @JsonProperty("label") String name,
+      @JsonProperty("cores") double cores,
+      @JsonProperty("cards") double cards,
+      @JsonProperty("ram_gb") double ram,
+      @JsonProperty("cache_gb") double cacheGb,
+      @JsonProperty("pull_gb_per_s") double fetchGbPerS,
+      @JsonProperty("rate") double price,
+      @JsonProperty("low_price") double spotPrice,
+      @JsonProperty("ready_s") double bootS,
+      @JsonProperty("yards") List<String> zones) {}
+
+  record Rental(
+      @JsonProperty("hire") String name,
+      @JsonProperty("rig") String type,
+      @JsonProperty("yard") String zone,
+      @JsonProperty("standby") boolean spot,
+      @JsonProperty("how_many") int count) {}
+
+  record Machines(@JsonProperty("trucks") List<String> names) {}
+
+  record Listing(
+      @JsonProperty("trucks") List<Listed> machines, @JsonProperty("has_next") boolean more) {}
+
+  record Listed(
+      @JsonProperty("uid") String name,
+      @JsonProperty("rig") String type,
+      @JsonProperty("yard") String zone,
+      @JsonProperty("standby") boolean spot,
+      @JsonProperty("status") String status,
+      @JsonProperty("age_s") double ageS) {}
+}
--- /dev/null
+++ b/src/main/java/dev/windbend/machine/MachineType.java
@@ -0,0 +1,29 @@
+package dev.windbend.machine;
+
+/** A type of machine on offer. Prices are per hour and move; zones are indices. */
+public record MachineType(
+    int index,
+    String name,
+    double cores,
+    double cards,
+    double ram,
+    double cacheGb,
+    double fetchGbPerS,
+    double price,
+    double spotPrice,
+    double bootS,
+    int[] zones) {
+
+  public boolean in(int zone) {
+    for (int z : zones) {
+      if (z == zone) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  public boolean fits(double c, double g, double r) {
+    return c <= cores + 1e-9 && g <= cards + 1e-9 && r <= ram + 1e-9;
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/windbend/overload/Gate.java
@@ -0,0 +1,56 @@
+package dev.windbend.overload;
+
+import com.netflix.concurrency.limits.Limit;
+import com.netflix.concurrency.limits.limit.Gradient2Limit;
+import dev.windbend.daemon.io.Loop;
+import dev.windbend.daemon.io.Web;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * Limits the users' requests in progress; the limit adapts to the times they take. What is over it
+ * is answered at once, with when to come back.
+ */
+public final class Gate {
+  private static final int FIRST = 40;
+  private static final int LEAST = 8;
+  private static final int MOST = 200;
+
+  private final Loop loop;
+  private final Web.Door inner;
+  private final Limit limit =
+      Gradient2Limit.newBuilder().initialLimit(FIRST).minLimit(LEAST).maxConcurrency(MOST).build();
+  private int inProgress;
+
+  public Gate(Loop loop, Web.Door inner) {
+    this.loop = loop;
+    this.inner = inner;
+  }
+
+  public int limit() {
+    return limit.getLimit();
+  }
+
+  public void handle(Web.Request request, Consumer<Web.Answer> done) {
+    if (inProgress >= limit.getLimit()) {
+      done.accept(Web.Answer.later(1));
+      return;
+    }
+    int now = ++inProgress;
+    long start = nanos();
+    inner.handle(
+        request,
+        answer -> {
+          inProgress--;
+          // An outage is not load: its 503s say nothing about how much we can take.
+          if (answer.status() != 503) {
+            limit.onSample(start, Math.max(1, nanos() - start), now, false);
+          }
+          done.accept(answer);
+        });
+  }
+
+  private long nanos() {
+    return TimeUnit.MILLISECONDS.toNanos(loop.nowMs());
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/windbend/part/Owner.java
@@ -0,0 +1,767 @@
+package dev.windbend.part;
+
+import dev.windbend.daemon.io.Json;
+import dev.windbend.daemon.io.Loop;
+import dev.windbend.daemon.io.Names;
+import dev.windbend.daemon.io.Web;
+import dev.windbend.job.Job;
+import dev.windbend.job.JobRecord;
+import dev.windbend.job.Placement;
+import dev.windbend.machine.Catalog;
+import dev.windbend.machine.CloudClient;
+import dev.windbend.machine.Fleet;
+import dev.windbend.machine.HireRecord;
+import dev.windbend.machine.Machine;
+import dev.windbend.machine.MachineType;
+import dev.windbend.plan.Estimates;
+import dev.windbend.plan.Planner;
+import dev.windbend.plan.Snapshot;
+import dev.windbend.plan.Wanted;
+import dev.windbend.store.Committer;
+import dev.windbend.store.Replica;
+import dev.windbend.store.StoreClient;
+import dev.windbend.store.Stored;
+import dev.windbend.store.Unit;
+import dev.windbend.worker.WorkerDesk;
+import dev.windbend.worker.WorkerMessages;
+import it.unimi.dsi.fastutil.ints.IntOpenHashSet;
+import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One owned part: its live jobs and machines, rebuilt from the records when it is won, and the loop
+ * that plans for them. It acts only while the claim is surely held.
+ */
+public final class Owner implements WorkerDesk.Book, Fleet.Host {
+  private static final Logger LOG = LoggerFactory.getLogger(Owner.class);
+  private static final long TICK_MS = 500;
+  private static final long GAP_MS = 150;
+  private static final long COMMIT_WAIT_MS = 400;
+  private static final long RECALL_SLACK_MS = 1_000;
+  private static final int BAD_JOBS = 2;
+  private static final int BAD_MACHINES = 3;
+  private static final long BACK_OFF_MS = 5_000;
+  private static final int BACK_OFF_DOUBLINGS = 4;
+  private static final double BOOT_PATIENCE = 2.5;
+  private static final double BOOT_LATE = 1.5;
+  private static final long SHORTEST_CHARGE_MS = 60_000;
+
+  private final int part;
+  private final long token;
+  private final Loop loop;
+  private final Replica replica;
+  private final Layout layout;
+  private final Catalog catalog;
+  private final Facts facts;
+  private final Policy policy;
+  private final Claims claims;
+  private final Estimates estimates;
+  private final Names images;
+  private final BooleanSupplier othersServed;
+  private final Committer committer;
+  private final Fleet fleet;
+  private final WorkerDesk desk;
+  private final Map<String, Job> jobs = new LinkedHashMap<>();
+  private final List<Waiting> answers = new ArrayList<>();
+  private boolean ready;
+  private boolean closed;
+  private boolean roundDue;
+  private long lastRoundMs;
+  private long lastCheckMs;
+  private long sureSinceMs = -1;
+
+  /** A worker's report whose answer waits for a write. */
+  private record Waiting(
+      Machine machine, WorkerMessages.Report report, long untilMs, Consumer<Web.Answer> done) {}
+
+  public Owner(
+      int part,
+      long token,
+      Loop loop,
+      StoreClient store,
+      CloudClient cloud,
+      Replica replica,
+      Layout layout,
+      Catalog catalog,
+      Facts facts,
+      Policy policy,
+      Claims claims,
+      Estimates estimates,
+      Names images,
+      BooleanSupplier othersServed) {
+    this.part = part;
+    this.token = token;
+    this.loop = loop;
+    this.replica = replica;
+    this.layout = layout;
+    this.catalog = catalog;
+    this.facts = facts;
+    this.policy = policy;
+    this.claims = claims;
+    this.estimates = estimates;
+    this.images = images;
+    this.othersServed = othersServed;
+    this.committer =
+        new Committer(
+            loop, store, Claims.key(part), token, () -> claims.lose(part), this::afterWrite);
+    this.fleet = new Fleet(loop, cloud, catalog, part, token, this);
+    this.desk = new WorkerDesk(this);
+  }
+
+  /** Waits until the mirror shows all that former owners can have written, then takes over. */
+  public void start() {
+    if (closed) {
+      return;
+    }
+    if (replica.revision() < token || !catalog.known()) {
+      loop.after(20, this::start);
+      return;
+    }
+    long now = loop.nowMs();
+    for (Map.Entry<String, Stored> e : replica.below(HireRecord.prefix(part)).entrySet()) {
+      HireRecord r = Json.read(e.getValue().value(), HireRecord.class);
+      if (r != null) {
+        fleet.restore(
+            e.getKey().substring(HireRecord.prefix(part).length()), r, e.getValue().version());
+      }
+    }
+    for (Map.Entry<String, Stored> e : replica.below(JobRecord.LIVE).entrySet()) {
+      take(e.getValue(), now);
+    }
+    ready = true;
+    LOG.info(
+        "part {} taken over with token {}: {} jobs, {} machines",
+        part,
+        token,
+        jobs.size(),
+        fleet.machines().size());
+    lastRoundMs = now;
+    lastCheckMs = now;
+    tick();
+  }
+
+  public void close() {
+    closed = true;
+    committer.close();
+    fleet.close();
+    answers.forEach(a -> a.done().accept(Web.Answer.bare(503)));
+    answers.clear();
+  }
+
+  public boolean ready() {
+    return ready && !closed;
+  }
+
+  public int part() {
+    return part;
+  }
+
+  public int liveJobs() {
+    return jobs.size();
+  }
+
+  public int machineCount() {
+    return fleet.machines().size();
+  }
+
+  private Job take(Stored s, long now) {
+    JobRecord.Live r = Json.read(s.value(), JobRecord.Live.class);
+    int team = r == null || r.spec() == null ? -1 : layout.team(r.spec().team());
+    if (team < 0 || layout.partOf(team) != part) {
+      return null;
+    }
+    Job job = new Job(r, s.version(), team);
+    List<Placement> placed = new ArrayList<>();
+    if (job.inline()) {
+      placed.addAll(job.restore(0, r.piece(), 0, now));
+    } else {
+      for (int i = 0; i < job.pieceCount(); i++) {
+        Stored p = replica.get(Job.pieceKey(r.spec().uid(), i));
+        if (p != null) {
+          JobRecord.Piece piece = Json.read(p.value(), JobRecord.Piece.class);
+          placed.addAll(job.restore(i, piece, p.version(), now));
+        }
+      }
+    }
+    jobs.put(r.spec().uid(), job);
+    for (Placement p : placed) {
+      Machine m = fleet.find(p.machine);
+      if (m != null) {
+        m.add(p);
+      } else {
+        // Its rental's record went only after the cloud had confirmed the machine's end.
+        job.gone(p, now);
+      }
+    }
+    if (job.cancelled) {
+      stopAll(job);
+    }
+    touched(job);
+    return job;
+  }
+
+  /** A live job's record has changed in the state service. */
+  public void jobChanged(String uid, Stored now) {
+    if (!ready()) {
+      return;
+    }
+    Job job = jobs.get(uid);
+    if (job == null) {
+      if (now != null && take(now, loop.nowMs()) != null) {
+        wantRound();
+      }
+      return;
+    }
+    if (now == null) {
+      return;
+    }
+    JobRecord.Live r = Json.read(now.value(), JobRecord.Live.class);
+    if (r != null) {
+      boolean before = job.cancelled;
+      job.changed(r, now.version());
+      if (job.cancelled && !before) {
+        LOG.info("{} is cancelled", uid);
+        stopAll(job);
+        touched(job);
+        wantRound();
+      }
+    }
+  }
+
+  private void stopAll(Job job) {
+    job.placements().forEach(p -> p.stop(0));
+  }
+
+  // ---- workers
+
+  public boolean has(String machine) {
+    return fleet.find(machine) != null;
+  }
+
+  /** A machine that no part knows, while no rental is unanswered that it could belong to. */
+  public boolean adopt(WorkerMessages.Report r) {
+    if (!ready() || !mayAct() || rentalOpen()) {
+      return false;
+    }
+    fleet.adopt(r.machine(), r.type(), r.zone(), r.spot());
+    return true;
+  }
+
+  private boolean rentalOpen() {
+    for (Stored s : replica.below(HireRecord.KEYS).values()) {
+      HireRecord r = Json.read(s.value(), HireRecord.class);
+      if (r != null && r.machines() == null) {
+        return true;
+      }
+    }
+    return !fleet.pending().isEmpty();
+  }
+
+  public void report(WorkerMessages.Report r, Consumer<Web.Answer> done) {
+    Machine m = fleet.find(r.machine());
+    if (m == null || r.token() > token) {
+      done.accept(Web.Answer.bare(503));
+      return;
+    }
+    long now = loop.nowMs();
+    if (!m.newer(r.shift(), r.tally())) {
+      // Held back by the network: older than what we know, and nobody waits for the answer.
+      done.accept(answer(List.of()));
+      return;
+    }
+    m.shift = r.shift();
+    m.tally = r.tally();
+    m.seenMs = now;
+    m.confirmed = r.token() == token;
+    if (r.recallS() != null && m.recallMs < 0) {
+      m.recallMs = now + (long) (r.recallS() * 1000);
+      m.draining = true;
+      LOG.info("{} is recalled in {} s", m.name, r.recallS());
+      wantRound();
+    }
+    if (!m.confirmed || !mayAct()) {
+      // Unsure of our hold, we only keep leases alive: nobody takes a lease's end for proof, and a
+      // successor's token is higher. Not if others are served: then the workers should find them.
+      done.accept(
+          mayAct() || !othersServed.getAsBoolean() ? answer(List.of()) : Web.Answer.bare(503));
+      return;
+    }
+    boolean free = m.tasks.isEmpty();
+    int before = m.tasks.size();
+    desk.absorb(m, r, now);
+    if (m.recallMs >= 0) {
+      drain(m, now);
+    }
+    if (m.tasks.size() < before || free) {
+      roundNow(now);
+    }
+    Waiting w = new Waiting(m, r, now + COMMIT_WAIT_MS, done);
+    if (writePending(m)) {
+      answers.add(w);
+      loop.after(COMMIT_WAIT_MS, this::answerWaiting);
+    } else {
+      answerNow(w);
+    }
+  }
+
+  /** Tasks that can save do so in time; the others may still finish before the machine goes. */
+  private void drain(Machine m, long now) {
+    for (Placement p : m.tasks.values()) {
+      double saveS = p.job.spec.saveS();
+      if (p.job.spec.checkpointS() > 0
+          && now + RECALL_SLACK_MS + saveS * 1000 + 2 * facts.reportS() * 1000 >= m.recallMs) {
+        p.stop(saveS + 1);
+      }
+    }
+  }
+
+  private boolean writePending(Machine m) {
+    for (Placement p : m.tasks.values()) {
+      if (!p.inherited && !p.seen && !p.stopping() && !p.job.startable(p)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private void answerNow(Waiting w) {
+    Machine m = w.machine();
+    boolean newest = m.shift == w.report().shift() && m.tally == w.report().tally();
+    boolean mayStart = mayAct() && !m.returning && !m.draining && fleet.recorded(m);
+    w.done().accept(answer(newest && mayAct() ? desk.orders(m, w.report(), mayStart) : List.of()));
+  }
+
+  private Web.Answer answer(List<WorkerMessages.Order> orders) {
+    return Web.Answer.of(200, new WorkerMessages.Orders(token, orders));
+  }
+
+  private void answerWaiting() {
+    long now = loop.nowMs();
+    for (Waiting w : List.copyOf(answers)) {
+      if (now >= w.untilMs() || !writePending(w.machine())) {
+        answers.remove(w);
+        answerNow(w);
+      }
+    }
+  }
+
+  private void afterWrite() {
+    jobs.values().removeIf(Job::archived);
+    answerWaiting();
+  }
+
+  // ---- what the desk and the fleet need
+
+  @Override
+  public Job job(String uid) {
+    return jobs.get(uid);
+  }
+
+  @Override
+  public void touched(Job job) {
+    for (Unit u : job.units()) {
+      committer.touch(u);
+    }
+  }
+
+  @Override
+  public void completed(Placement p, long nowMs) {
+    if (p.runningMs >= 0) {
+      estimates.finished(user(p.job), (nowMs - p.runningMs) / 1000.0);
+    }
+  }
+
+  @Override
+  public void failed(Placement p, Machine m) {
+    Job job = p.job;
+    LOG.info("{} failed on {}", p.taskName(), m.name);
+    job.failedOn.add(m.name);
+    m.failedJobs.add(job.spec.uid());
+    if (m.failedJobs.size() >= BAD_JOBS) {
+      quarantine(m);
+    }
+    if (job.failedOn.size() >= BAD_MACHINES) {
+      // It fails everywhere: the job's fault, most likely. Machines are blamed no more for it.
+      job.notBeforeMs =
+          loop.nowMs() + (BACK_OFF_MS << Math.min(job.failures++, BACK_OFF_DOUBLINGS));
+      fleet.machines().forEach(x -> x.failedJobs.remove(job.spec.uid()));
+      job.failedOn.clear();
+    }
+  }
+
+  private void quarantine(Machine m) {
+    if (!m.draining) {
+      LOG.warn("{} fails tasks of several jobs: quarantined", m.name);
+      m.draining = true;
+      m.tasks.values().forEach(p -> p.stop(p.job.spec.saveS() + 1));
+      wantRound();
+    }
+  }
+
+  @Override
+  public int image(String name) {
+    return images.index(name);
+  }
+
+  @Override
+  public void touch(Unit unit) {
+    committer.touch(unit);
+  }
+
+  @Override
+  public void gone(Machine m) {
+    long now = loop.nowMs();
+    for (Placement p : List.copyOf(m.tasks.values())) {
+      m.remove(p, now);
+      p.job.gone(p, now);
+      touched(p.job);
+    }
+    wantRound();
+  }
+
+  @Override
+  public void fleetChanged() {
+    wantRound();
+  }
+
+  @Override
+  public boolean mayAct() {
+    return ready() && claims.owns(part) && claims.surelyHeld();
+  }
+
+  // ---- rounds
+
+  private void wantRound() {
+    roundDue = true;
+    if (policy.roundsOnEvents()) {
+      loop.after(GAP_MS, () -> roundNow(loop.nowMs()));
+    }
+  }
+
+  /** A round on an event: room was freed, or something came. */
+  private void roundNow(long now) {
+    if (!policy.roundsOnEvents() || closed) {
+      return;
+    }
+    if (now - lastRoundMs < GAP_MS) {
+      roundDue = true;
+    } else {
+      round(now);
+    }
+  }
+
+  private void tick() {
+    if (closed) {
+      return;
+    }
+    long now = loop.nowMs();
+    if (mayAct()) {
+      if (sureSinceMs < 0) {
+        sureSinceMs = now;
+      }
+      watch(now);
+      fleet.pursue();
+      if (now - lastRoundMs >= policy.periodMs()
+          || policy.roundsOnEvents() && (roundDue || now - lastRoundMs >= 2 * TICK_MS)) {
+        round(now);
+      }
+      committer.run();
+      if (now - lastCheckMs >= 2_000 * facts.listLagS()) {
+        lastCheckMs = now;
+        checkList();
+      }
+    } else {
+      sureSinceMs = -1;
+    }
+    loop.after(TICK_MS, this::tick);
+  }
+
+  private void checkList() {
+    Set<String> known = new java.util.HashSet<>();
+    for (Stored s : replica.below(HireRecord.KEYS).values()) {
+      HireRecord r = Json.read(s.value(), HireRecord.class);
+      if (r != null && r.machines() != null) {
+        known.addAll(r.machines());
+      }
+    }
+    fleet.check((long) (8_000 * facts.listLagS()), part == 0 && !rentalOpen(), known, stray -> {});
+  }
+
+  /** Machines that are silent, never came up, or are due to leave. */
+  private void watch(long now) {
+    long silentMs = (long) (1000 * Math.max(4 * facts.reportS(), facts.leaseS() * 0.6));
+    List<Machine> silent = new ArrayList<>();
+    int heard = 0;
+    for (Machine m : List.copyOf(fleet.machines())) {
+      if (m.returning) {
+        continue;
+      }
+      if (m.seenMs < 0) {
+        // Inherited ones count from the takeover, so they get their time to find us.
+        long patience = (long) Math.max(SHORTEST_CHARGE_MS, 1000 * BOOT_PATIENCE * m.type.bootS());
+        if (now - m.rentedMs > patience) {
+          fleet.giveBack(m, "never came up");
+        } else if (!m.tasks.isEmpty()
+            && now - Math.max(sureSinceMs, m.rentedMs) > 1000 * facts.leaseS() + silentMs) {
+          fleet.giveBack(m, "silent since the takeover");
+        }
+        continue;
+      }
+      if (now - Math.max(m.seenMs, sureSinceMs) > silentMs) {
+        silent.add(m);
+      } else {
+        heard++;
+      }
+      if (m.recallMs >= 0 && now > m.recallMs + RECALL_SLACK_MS
+          || m.draining && m.tasks.isEmpty()) {
+        fleet.giveBack(m, "drained");
+      }
+    }
+    // Many at once look like a cut: their tasks go on behind it, so they get their whole lease.
+    boolean cut = silent.size() > 2 && silent.size() > heard / 4;
+    for (Machine m : silent) {
+      long patience = cut ? (long) (1000 * facts.leaseS()) + silentMs : silentMs;
+      if (now - Math.max(m.seenMs, sureSinceMs) > patience) {
+        fleet.giveBack(m, "silent");
+      }
+    }
+    for (Job job : jobs.values()) {
+      if (job.cancelled && job.over()) {
+        touched(job);
+      }
+    }
+  }
+
+  private String user(Job job) {
+    return job.spec.team() + "/" + job.spec.kind();
+  }
+
+  private void round(long now) {
+    if (!mayAct()) {
+      return;
+    }
+    lastRoundMs = now;
+    roundDue = false;
+    List<Job> works = new ArrayList<>();
+    for (Job j : jobs.values()) {
+      if (j.waitingCount() > 0) {
+        works.add(j);
+      }
+    }
+    List<Machine> rooms = new ArrayList<>();
+    for (Machine m : fleet.machines()) {
+      if (!m.returning && !m.draining && now >= m.fullUntilMs) {
+        rooms.add(m);
+      }
+    }
+    List<Snapshot.Offer> offers = offers();
+    Wanted wanted = Planner.plan(snapshot(now, works, rooms, offers));
+    Set<Job> changed = new java.util.LinkedHashSet<>();
+    for (Wanted.Place place : wanted.places()) {
+      Job job = works.get(place.work());
+      Machine m = rooms.get(place.room());
+      int task = job.nextWaiting();
+      Placement p = job.place(task, m.name, now);
+      m.add(p);
+      changed.add(job);
+    }
+    changed.forEach(this::touched);
+    for (Wanted.Rental r : wanted.rentals()) {
+      Snapshot.Offer o = offers.get(r.offer());
+      fleet.rent(catalog.type(o.type()), o.zone(), o.spot(), r.count());
+    }
+    for (int i : wanted.giveBack()) {
+      fleet.giveBack(rooms.get(i), "idle at the end of its block");
+    }
+  }
+
+  private List<Snapshot.Offer> offers() {
+    List<Snapshot.Offer> all = new ArrayList<>();
+    for (MachineType t : catalog.all()) {
+      Snapshot.Size size = new Snapshot.Size(t.cores(), t.cards(), t.ram());
+      for (int zone : t.zones()) {
+        for (boolean spot : new boolean[] {true, false}) {
+          if (!fleet.refused(t.index(), zone, spot)) {
+            all.add(
+                new Snapshot.Offer(
+                    t.index(),
+                    zone,
+                    spot,
+                    size,
+                    spot ? t.spotPrice() : t.price(),
+                    (long) (1000 * t.bootS()),
+                    t.fetchGbPerS()));
+          }
+        }
+      }
+    }
+    return all;
+  }
+
+  private Snapshot snapshot(
+      long now, List<Job> works, List<Machine> machines, List<Snapshot.Offer> offers) {
+    double[] cores = new double[facts.teams().size()];
+    double[] cards = new double[cores.length];
+    for (Job j : jobs.values()) {
+      // Everything not proved gone counts, wherever it is.
+      cores[j.team] += j.placements().size() * j.spec.cores();
+      cards[j.team] += j.placements().size() * j.spec.cards();
+    }
+    List<Snapshot.Team> teams = new ArrayList<>();
+    for (int i = 0; i < cores.length; i++) {
+      Facts.TeamFact t = facts.teams().get(i);
+      teams.add(
+          new Snapshot.Team(
+              t.cores(), t.cards(), t.coresMost(), t.cardsMost(), cores[i], cards[i]));
+    }
+    Object2IntOpenHashMap<String> roomOf = new Object2IntOpenHashMap<>();
+    for (int i = 0; i < machines.size(); i++) {
+      roomOf.put(machines.get(i).name, i);
+    }
+    List<Snapshot.Room> rooms = new ArrayList<>();
+    machines.forEach(m -> rooms.add(room(m, now)));
+    for (Fleet.Pending p : fleet.pending()) {
+      for (int i = 0; i < p.count(); i++) {
+        rooms.add(pendingRoom(p, now));
+      }
+    }
+    List<Snapshot.Work> views = new ArrayList<>();
+    works.forEach(j -> views.add(work(j, now, roomOf)));
+    int most = (int) Math.max(1, facts.cloudRps() * policy.periodMs() / 1000.0 / facts.nodes());
+    return new Snapshot(
+        now, policy.periodMs(), policy.blockMs(), most, teams, views, rooms, offers);
+  }
+
+  private Snapshot.Room room(Machine m, long now) {
+    MachineType t = m.type;
+    double c = t.cores();
+    double g = t.cards();
+    double r = t.ram();
+    List<Snapshot.Release> releases = new ArrayList<>();
+    for (Placement p : m.tasks.values()) {
+      Snapshot.Size size = size(p.job);
+      c -= size.cores();
+      g -= size.cards();
+      r -= size.ram();
+      releases.add(new Snapshot.Release(expectedEnd(p, t, now), size));
+    }
+    boolean up = m.usable(now) && fleet.recorded(m);
+    long sinceS = (now - m.rentedMs) / 1000;
+    long ready =
+        m.seenMs >= 0
+            ? now + 1_000
+            : sinceS > BOOT_LATE * t.bootS()
+                ? now + (long) (1000 * BOOT_PATIENCE * t.bootS())
+                : Math.max(m.rentedMs + (long) (1000 * t.bootS()), now + 1_000);
+    long block = policy.blockMs();
+    // The block in which it went idle (or now, if it is busy) is paid to its end.
+    long ref = m.idleSinceMs >= 0 ? m.idleSinceMs : now;
+    long blocks = Math.max(1, (Math.max(0, ref - m.rentedMs) + block - 1) / block);
+    return new Snapshot.Room(
+        t.index(),
+        m.zone,
+        m.spot,
+        up,
+        new Snapshot.Size(c, g, r),
+        ready,
+        m.tasks.isEmpty(),
+        m.rentedMs + blocks * block,
+        m.spot ? t.spotPrice() : t.price(),
+        t.fetchGbPerS(),
+        m.images,
+        releases);
+  }
+
+  private Snapshot.Room pendingRoom(Fleet.Pending p, long now) {
+    MachineType t = p.type();
+    long ready = Math.max(p.sinceMs() + (long) (1000 * t.bootS()), now + 1_000);
+    return new Snapshot.Room(
+        t.index(),
+        p.zone(),
+        p.spot(),
+        false,
+        new Snapshot.Size(t.cores(), t.cards(), t.ram()),
+        ready,
+        false,
+        ready,
+        p.spot() ? t.spotPrice() : t.price(),
+        t.fetchGbPerS(),
+        new IntOpenHashSet(),
+        List.of());
+  }
+
+  private static Snapshot.Size size(Job j) {
+    return new Snapshot.Size(j.spec.cores(), j.spec.cards(), j.spec.ram());
+  }
+
+  private double estimateS(Job j) {
+    return Math.max(1, estimates.of(user(j), j.spec.estimateS()));
+  }
+
+  private long expectedEnd(Placement p, MachineType t, long now) {
+    if (p.stopping()) {
+      return now + (long) (1000 * p.stopGraceS) + 1_000;
+    }
+    double e = estimateS(p.job);
+    if (p.runningMs < 0) {
+      return p.placedMs
+          + (long) (1000 * (e + p.job.spec.imageGb() / Math.max(0.01, t.fetchGbPerS())));
+    }
+    return p.runningMs + (long) (1000 * Estimates.corrected(e, (now - p.runningMs) / 1000.0));
+  }
+
+  private Snapshot.Work work(Job j, long now, Object2IntOpenHashMap<String> roomOf) {
+    boolean[] types = null;
+    if (j.spec.types() != null) {
+      types = new boolean[catalog.all().size()];
+      for (MachineType t : catalog.all()) {
+        types[t.index()] = j.spec.types().contains(t.name());
+      }
+    }
+    int[] perZone = new int[catalog.zones.size()];
+    for (Placement p : j.placements()) {
+      Machine m = fleet.find(p.machine);
+      if (m != null) {
+        perZone[m.zone]++;
+      }
+    }
+    IntOpenHashSet avoid = new IntOpenHashSet();
+    for (String m : j.failedOn) {
+      if (roomOf.containsKey(m)) {
+        avoid.add(roomOf.getInt(m));
+      }
+    }
+    double own = j.spec.estimateS();
+    double dueS = j.spec.dueS() != null ? j.spec.dueS() : policy.impliedDue() * own;
+    if (j.spec.dueS() == null && policy.dueFromAims()) {
+      dueS = Math.min(dueS, facts.finishWithinS().getOrDefault(j.spec.kind(), dueS));
+    }
+    long age = loop.wallMs() - j.submittedWallMs;
+    return new Snapshot.Work(
+        j.team,
+        j.spec.urgency().ordinal(),
+        size(j),
+        types,
+        j.spec.zone() == null ? -1 : catalog.zones.index(j.spec.zone()),
+        j.spec.together(),
+        j.spec.spread(),
+        j.spec.spot(),
+        images.index(j.spec.image()),
+        j.spec.imageGb(),
+        j.spec.tasks(),
+        j.waitingCount(),
+        perZone,
+        (long) (1000 * estimateS(j)),
+        now - age + (long) (1000 * dueS),
+        j.notBeforeMs,
+        avoid);
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/windbend/part/Policy.java
@@ -0,0 +1,10 @@
+package dev.windbend.part;
+
+/** The design's numbers; operators may set them. */
+public record Policy(
+    long periodMs,
+    boolean roundsOnEvents,
+    long blockMs,
+    double impliedDue,
+    long holdMs,
+    boolean dueFromAims) {}
--- /dev/null
+++ b/src/main/java/dev/windbend/plan/Planner.java
@@ -0,0 +1,333 @@
+package dev.windbend.plan;
+
+import dev.windbend.plan.Snapshot.Offer;
+import dev.windbend.plan.Snapshot.Release;
+import dev.windbend.plan.Snapshot.Room;
+import dev.windbend.plan.Snapshot.Size;
+import dev.windbend.plan.Snapshot.Work;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * One round of the design's loop (paper, Algorithm 1), as a pure function: idle paid room first;
+ * wait while the slack allows; queue behind a machine that is free soon enough, which is held; else
+ * extend a paid block or rent, whichever costs less.
+ */
+public final class Planner {
+  private final Snapshot s;
+  private final List<Line> lines = new ArrayList<>();
+  private final int[] rented;
+  private final double[] usedCores;
+  private final double[] usedCards;
+  private final List<Wanted.Place> places = new ArrayList<>();
+  private int rentals;
+
+  private Planner(Snapshot s) {
+    this.s = s;
+    this.rented = new int[s.offers().size()];
+    this.usedCores = s.teams().stream().mapToDouble(Snapshot.Team::usedCores).toArray();
+    this.usedCards = s.teams().stream().mapToDouble(Snapshot.Team::usedCards).toArray();
+    for (int i = 0; i < s.rooms().size(); i++) {
+      lines.add(new Line(s.rooms().get(i), i, s.nowMs()));
+    }
+  }
+
+  public static Wanted plan(Snapshot snapshot) {
+    return new Planner(snapshot).run();
+  }
+
+  private Wanted run() {
+    List<Integer> order = new ArrayList<>();
+    for (int i = 0; i < s.works().size(); i++) {
+      if (s.works().get(i).waiting() > 0 && s.works().get(i).notBeforeMs() <= s.nowMs()) {
+        order.add(i);
+      }
+    }
+    order.sort(
+        Comparator.<Integer>comparingInt(i -> s.works().get(i).rank())
+            .thenComparingLong(i -> s.works().get(i).dueMs()));
+    for (int i : order) {
+      serve(i, s.works().get(i));
+    }
+    List<Wanted.Rental> rentals = new ArrayList<>();
+    for (int i = 0; i < rented.length; i++) {
+      if (rented[i] > 0) {
+        rentals.add(new Wanted.Rental(i, rented[i]));
+      }
+    }
+    List<Integer> back = new ArrayList<>();
+    for (Line l : lines) {
+      if (l.room != null
+          && l.room.up()
+          && l.room.idle()
+          && !l.taken
+          && l.room.paidUntilMs() <= s.nowMs()) {
+        back.add(l.index);
+      }
+    }
+    return new Wanted(places, rentals, back);
+  }
+
+  private void serve(int index, Work w) {
+    int[] zones = w.placedPerZone().clone();
+    int together = w.together() ? firstUsed(zones) : -1;
+    for (int k = 0; k < w.waiting(); k++) {
+      if (overLimit(w)) {
+        return;
+      }
+      Line idle = idleRoom(w, zones, together);
+      if (idle != null) {
+        idle.take(s.nowMs(), w.estimateMs() + fetchMs(w, idle), w.size());
+        idle.taken = true;
+        zones[idle.zone]++;
+        together = w.together() ? idle.zone : -1;
+        use(w);
+        places.add(new Wanted.Place(index, idle.index));
+        continue;
+      }
+      long boot = bootMs(w);
+      long slack = w.dueMs() - s.nowMs() - w.estimateMs() - boot;
+      if (slack > w.estimateMs() + s.periodMs()) {
+        return; // can wait, and so can the rest of the job
+      }
+      Line line = soonFree(w, zones, together, s.nowMs() + boot);
+      if (line == null) {
+        line = rent(w, zones, together);
+      }
+      if (line == null) {
+        return;
+      }
+      zones[line.zone]++;
+      together = w.together() ? line.zone : -1;
+      use(w);
+    }
+  }
+
+  private static int firstUsed(int[] zones) {
+    for (int z = 0; z < zones.length; z++) {
+      if (zones[z] > 0) {
+        return z;
+      }
+    }
+    return -1;
+  }
+
+  private boolean overLimit(Work w) {
+    Snapshot.Team t = s.teams().get(w.team());
+    return usedCores[w.team()] + w.size().cores() > t.mostCores() + 1e-6
+        || usedCards[w.team()] + w.size().cards() > t.mostCards() + 1e-6;
+  }
+
+  private void use(Work w) {
+    usedCores[w.team()] += w.size().cores();
+    usedCards[w.team()] += w.size().cards();
+  }
+
+  private static boolean allowed(
+      Work w, int type, int zone, boolean spot, int[] zones, int together) {
+    return (w.types() == null || w.types()[type])
+        && (w.zone() < 0 || w.zone() == zone)
+        && (together < 0 || together == zone)
+        && (w.spot() || !spot)
+        && (!w.spread() || zones[zone] + 1 <= (w.tasks() + 1) / 2);
+  }
+
+  private static boolean allowed(Work w, Line l, int[] zones, int together) {
+    return allowed(w, l.type, l.zone, l.spot, zones, together)
+        && (l.room == null || !w.avoidRooms().contains(l.index));
+  }
+
+  private static long fetchMs(Work w, Line l) {
+    return l.room != null && l.room.images().contains(w.image()) || l.fetchGbPerS <= 0
+        ? 0
+        : (long) (1000 * w.imageGb() / l.fetchGbPerS);
+  }
+
+  /** Idle room on a machine that is up: image at hand first, then the tightest fit. */
+  private Line idleRoom(Work w, int[] zones, int together) {
+    Line best = null;
+    double bestScore = 0;
+    for (Line l : lines) {
+      if (l.room == null || !l.room.up() || !allowed(w, l, zones, together)) {
+        continue;
+      }
+      long fetch = fetchMs(w, l);
+      if (!l.fits(s.nowMs(), w.estimateMs() + fetch, w.size()) || tooDear(w, l)) {
+        continue;
+      }
+      double score = l.now.cores() + fetch / 10.0;
+      if (best == null || score < bestScore) {
+        best = l;
+        bestScore = score;
+      }
+    }
+    return best;
+  }
+
+  /**
+   * Running past the paid block extends it. That must not cost more than a new machine would,
+   * unless a new one would come too late.
+   */
+  private boolean tooDear(Work w, Line l) {
+    long past = s.nowMs() + w.estimateMs() - l.room.paidUntilMs();
+    if (past <= 0) {
+      return false;
+    }
+    double extend = l.room.pricePerH() * past;
+    for (Offer o : s.offers()) {
+      long boot = o.bootMs();
+      if ((w.types() == null || w.types()[o.type()])
+          && (w.zone() < 0 || w.zone() == o.zone())
+          && (w.spot() || !o.spot())
+          && o.size().holds(w.size())
+          && s.nowMs() + boot + w.estimateMs() <= w.dueMs()
+          && o.pricePerH() * (w.estimateMs() + boot) < extend) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private long bootMs(Work w) {
+    long boot = 0;
+    for (Offer o : s.offers()) {
+      if (w.types() == null || w.types()[o.type()]) {
+        boot = Math.max(boot, o.bootMs());
+      }
+    }
+    return boot;
+  }
+
+  /** The machine free first, if in time for the deadline or before a new one could be up. */
+  private Line soonFree(Work w, int[] zones, int together, long newOneMs) {
+    Line best = null;
+    long bestAt = Long.MAX_VALUE;
+    for (Line l : lines) {
+      if (!allowed(w, l, zones, together)) {
+        continue;
+      }
+      long run = w.estimateMs() + fetchMs(w, l);
+      long at = l.firstFit(s.nowMs(), run, w.size());
+      if (at < bestAt && (at <= newOneMs || at + run <= w.dueMs())) {
+        best = l;
+        bestAt = at;
+      }
+    }
+    if (best != null) {
+      best.take(bestAt, w.estimateMs() + fetchMs(w, best), w.size());
+      best.taken = true;
+    }
+    return best;
+  }
+
+  private Line rent(Work w, int[] zones, int together) {
+    if (rentals >= s.mostRentals()) {
+      return null;
+    }
+    int best = -1;
+    for (int i = 0; i < s.offers().size(); i++) {
+      Offer o = s.offers().get(i);
+      if (o.size().holds(w.size())
+          && allowed(w, o.type(), o.zone(), o.spot(), zones, together)
+          && (best < 0 || o.pricePerH() < s.offers().get(best).pricePerH())) {
+        best = i;
+      }
+    }
+    if (best < 0) {
+      return null;
+    }
+    rentals++;
+    rented[best]++;
+    Line l = new Line(s.offers().get(best), s.nowMs());
+    l.take(s.nowMs() + s.offers().get(best).bootMs(), w.estimateMs() + fetchMs(w, l), w.size());
+    lines.add(l);
+    return l;
+  }
+
+  /** A machine's free room over time, and what of it is spoken for. */
+  private static final class Line {
+    final Room room;
+    final int index;
+    final int type;
+    final int zone;
+    final boolean spot;
+    final double fetchGbPerS;
+    final List<Release> steps = new ArrayList<>();
+    Size now;
+    boolean taken;
+
+    Line(Room room, int index, long nowMs) {
+      this.room = room;
+      this.index = index;
+      this.type = room.type();
+      this.zone = room.zone();
+      this.spot = room.spot();
+      this.fetchGbPerS = room.fetchGbPerS();
+      if (room.up()) {
+        this.now = room.free();
+        for (Release r : room.releases()) {
+          steps.add(new Release(Math.max(r.atMs(), nowMs + 1), r.size()));
+        }
+      } else {
+        this.now = new Size(0, 0, 0);
+        steps.add(new Release(Math.max(room.readyMs(), nowMs + 1), room.free()));
+      }
+    }
+
+    Line(Offer o, long nowMs) {
+      this.room = null;
+      this.index = -1;
+      this.type = o.type();
+      this.zone = o.zone();
+      this.spot = o.spot();
+      this.fetchGbPerS = o.fetchGbPerS();
+      this.now = new Size(0, 0, 0);
+      this.taken = true;
+      steps.add(new Release(nowMs + o.bootMs(), o.size()));
+    }
+
+    /** Free all through the given time. */
+    boolean fits(long atMs, long runMs, Size need) {
+      if (!freeAt(atMs).holds(need)) {
+        return false;
+      }
+      for (Release r : steps) {
+        if (r.atMs() > atMs && r.atMs() < atMs + runMs && !freeAt(r.atMs()).holds(need)) {
+          return false;
+        }
+      }
+      return true;
+    }
+
+    private Size freeAt(long atMs) {
+      double c = now.cores();
+      double g = now.cards();
+      double m = now.ram();
+      for (Release r : steps) {
+        if (r.atMs() <= atMs) {
+          c += r.size().cores();
+          g += r.size().cards();
+          m += r.size().ram();
+        }
+      }
+      return new Size(c, g, m);
+    }
+
+    long firstFit(long fromMs, long runMs, Size need) {
+      long best = Long.MAX_VALUE;
+      for (Release r : steps) {
+        if (r.atMs() >= fromMs && r.atMs() < best && fits(r.atMs(), runMs, need)) {
+          best = r.atMs();
+        }
+      }
+      return best;
+    }
+
+    void take(long atMs, long runMs, Size need) {
+      Size negative = new Size(-need.cores(), -need.cards(), -need.ram());
+      steps.add(new Release(atMs, negative));
+      steps.add(new Release(atMs + Math.max(1, runMs), need));
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/windbend/store/Committer.java
@@ -0,0 +1,153 @@
+package dev.windbend.store;
+
+import dev.windbend.daemon.io.Loop;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Writes changed units in groups, urgent ones first, one transaction at a time, each on condition
+ * that the guard (the part's claim) is unchanged.
+ */
+public final class Committer {
+  private static final Logger LOG = LoggerFactory.getLogger(Committer.class);
+
+  private final Loop loop;
+  private final StoreClient store;
+  private final String guardKey;
+  private final long guardVersion;
+  private final Runnable lost;
+  private final Runnable after;
+  private final LinkedHashSet<Unit> changed = new LinkedHashSet<>();
+  private boolean busy;
+  private boolean closed;
+  private boolean scheduled;
+
+  public Committer(
+      Loop loop,
+      StoreClient store,
+      String guardKey,
+      long guardVersion,
+      Runnable lost,
+      Runnable after) {
+    this.loop = loop;
+    this.store = store;
+    this.guardKey = guardKey;
+    this.guardVersion = guardVersion;
+    this.lost = lost;
+    this.after = after;
+  }
+
+  public void close() {
+    closed = true;
+  }
+
+  /** Says that the unit has changed; the write follows. */
+  public void touch(Unit unit) {
+    changed.add(unit);
+    if (!scheduled) {
+      scheduled = true;
+      loop.after(0, this::run);
+    }
+  }
+
+  /** Called now and then, so that changes in no hurry are written too. */
+  public void run() {
+    scheduled = false;
+    if (busy || closed || changed.isEmpty()) {
+      return;
+    }
+    long now = loop.nowMs();
+    List<Unit> batch = new ArrayList<>();
+    Draft draft = new Draft().when(guardKey, guardVersion);
+    boolean urgent = false;
+    for (Unit u : changed) {
+      urgent |= u.dirty() && u.urgent(now);
+    }
+    if (!urgent) {
+      changed.removeIf(u -> !u.dirty());
+      return;
+    }
+    for (int pass = 0; pass < 2; pass++) {
+      for (Unit u : changed) {
+        if (u.dirty()
+            && u.urgent(now) == (pass == 0)
+            && (draft.size() == 0 || draft.size() + u.cost() <= store.opsLimit())
+            && !batch.contains(u)) {
+          u.fill(draft);
+          batch.add(u);
+        }
+      }
+    }
+    changed.removeAll(batch);
+    busy = true;
+    store.commit(draft, outcome -> settle(batch, outcome));
+  }
+
+  private void settle(List<Unit> batch, Outcome outcome) {
+    busy = false;
+    if (closed) {
+      return;
+    }
+    if (outcome.done()) {
+      for (Unit u : batch) {
+        u.written(outcome.revision());
+        if (u.dirty()) {
+          changed.add(u);
+        }
+      }
+      after.run();
+      run();
+      return;
+    }
+    for (Unit u : batch) {
+      u.unwritten();
+      changed.add(u);
+    }
+    if (outcome.kind() != Outcome.Kind.CONFLICT) {
+      // Not known whether it was applied: the same conditions go again, so at most one of both can
+      // be, and a conflict then shows which.
+      LOG.info("write {}: again soon", outcome.kind());
+      again(300);
+      return;
+    }
+    if (outcome.failed().contains(guardKey)) {
+      closed = true;
+      lost.run();
+      return;
+    }
+    reread(batch, outcome.failed());
+  }
+
+  private void reread(List<Unit> batch, List<String> failed) {
+    busy = true;
+    Set<String> open = new LinkedHashSet<>(failed);
+    boolean[] sure = {true};
+    for (String key : failed) {
+      store.get(
+          key,
+          got -> {
+            if (got.sure() && !closed) {
+              for (Unit u : batch) {
+                if (u.owns(key)) {
+                  u.reread(key, got.stored());
+                }
+              }
+            }
+            sure[0] &= got.sure();
+            open.remove(key);
+            if (open.isEmpty()) {
+              busy = false;
+              again(sure[0] ? 0 : 300);
+            }
+          });
+    }
+  }
+
+  private void again(long ms) {
+    loop.after(ms, this::run);
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/windbend/store/Draft.java
@@ -0,0 +1,46 @@
+package dev.windbend.store;
+
+import dev.windbend.daemon.io.Json;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A transaction being put together. */
+public final class Draft {
+  final List<StoreMessages.Condition> conditions = new ArrayList<>();
+  final List<StoreMessages.Change> changes = new ArrayList<>();
+
+  /** The key must still have this version; 0: must not exist. */
+  public Draft when(String key, long version) {
+    for (StoreMessages.Condition c : conditions) {
+      if (c.key().equals(key)) {
+        return this;
+      }
+    }
+    conditions.add(new StoreMessages.Condition(key, version));
+    return this;
+  }
+
+  public Draft put(String key, Object value) {
+    changes.add(new StoreMessages.Change(key, Json.tree(value), null, null, null));
+    return this;
+  }
+
+  /** The key goes when the lease ends. */
+  public Draft putHeld(String key, Object value, long lease) {
+    changes.add(new StoreMessages.Change(key, Json.tree(value), lease, null, null));
+    return this;
+  }
+
+  public Draft delete(String key) {
+    changes.add(new StoreMessages.Change(null, null, null, key, null));
+    return this;
+  }
+
+  public int size() {
+    return changes.size();
+  }
+
+  public int conditions() {
+    return conditions.size();
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/windbend/store/StoreClient.java
@@ -0,0 +1,261 @@
+package dev.windbend.store;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import dev.windbend.daemon.io.Json;
+import dev.windbend.daemon.io.Loop;
+import dev.windbend.daemon.io.Web;
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.function.Consumer;
+
+/**
+ * Calls the state service, each with a time-out, under this node's part of both rate limits. Calls
+ * that must wait for the rate queue up to a bound; over it they are refused at once.
+ */
+public final class StoreClient {
+  private static final long LIMIT_MS = 2_000;
+  private static final int QUEUE = 400;
+
+  private final Loop loop;
+  private final Web web;
+  private final String address;
+  private final int ops;
+  private final Rate reads;
+  private final Rate writes;
+  private final ArrayDeque<Waiting> queue = new ArrayDeque<>();
+  private boolean pumping;
+  private long lastOkMs;
+  private long firstFailMs = -1;
+
+  private record Waiting(int writeCost, Runnable send, Runnable refuse) {}
+
+  /** What a read found. Status 404 is an answer too; anything else but 200 is none. */
+  public record Got(int status, Stored stored) {
+    public boolean sure() {
+      return status == 200 || status == 404;
+    }
+  }
+
+  public record Listed(boolean ok, List<Item> items, boolean more, long revision) {}
+
+  /** A pair of a listing or an event; a null value in an event means the key was removed. */
+  public record Item(String key, JsonNode value, long version) {}
+
+  public record Followed(int status, List<Item> events, long revision) {}
+
+  public StoreClient(
+      Loop loop, Web web, String address, double rps, double writeRps, int ops, int nodes) {
+    this.loop = loop;
+    this.web = web;
+    this.address = address;
+    this.ops = ops;
+    // One node may own most of the work, so each gets more than an even part; 429 slows it down.
+    double share = Math.min(1.0, 1.6 / nodes);
+    this.reads = new Rate(loop, rps * share);
+    this.writes = new Rate(loop, writeRps * share);
+    this.lastOkMs = loop.nowMs();
+  }
+
+  public int opsLimit() {
+    return ops;
+  }
+
+  /** How long every call has failed, 0 if the last one was answered. */
+  public long failingForMs() {
+    return firstFailMs < 0 ? 0 : loop.nowMs() - firstFailMs;
+  }
+
+  public long lastOkMs() {
+    return lastOkMs;
+  }
+
+  public void get(String key, Consumer<Got> done) {
+    paced(
+        0,
+        () ->
+            send(
+                "GET",
+                "/keys/" + key,
+                null,
+                LIMIT_MS,
+                reply -> {
+                  if (reply.ok()) {
+                    StoreMessages.Pair p = Json.read(reply.body(), StoreMessages.Pair.class);
+                    if (p != null) {
+                      done.accept(new Got(200, new Stored(p.value(), p.version())));
+                      return;
+                    }
+                  }
+                  done.accept(new Got(reply.status() == 404 ? 404 : 503, null));
+                }),
+        () -> done.accept(new Got(503, null)));
+  }
+
+  public void list(String prefix, String from, Consumer<Listed> done) {
+    String path = "/keys?prefix=" + prefix + (from == null ? "" : "&from=" + from) + "&limit=200";
+    paced(
+        0,
+        () ->
+            send(
+                "GET",
+                path,
+                null,
+                3 * LIMIT_MS,
+                reply -> {
+                  StoreMessages.Page page =
+                      reply.ok() ? Json.read(reply.body(), StoreMessages.Page.class) : null;
+                  if (page == null || page.items() == null) {
+                    done.accept(new Listed(false, List.of(), false, 0));
+                    return;
+                  }
+                  List<Item> items =
+                      page.items().stream()
+                          .map(p -> new Item(p.key(), p.value(), p.version()))
+                          .toList();
+                  done.accept(new Listed(true, items, page.more(), page.revision()));
+                }),
+        () -> done.accept(new Listed(false, List.of(), false, 0)));
+  }
+
+  public void commit(Draft draft, Consumer<Outcome> done) {
+    byte[] body =
+        Json.write(
+            new StoreMessages.Transaction(
+                List.copyOf(draft.conditions), List.copyOf(draft.changes)));
+    paced(
+        draft.size(),
+        () ->
+            send(
+                "POST",
+                "/txn",
+                body,
+                LIMIT_MS,
+                reply -> {
+                  StoreMessages.Revision r =
+                      reply.ok() || reply.status() == 409
+                          ? Json.read(reply.body(), StoreMessages.Revision.class)
+                          : null;
+                  if (r != null && reply.ok()) {
+                    done.accept(new Outcome(Outcome.Kind.DONE, r.revision(), List.of()));
+                  } else if (r != null && r.failed() != null) {
+                    done.accept(new Outcome(Outcome.Kind.CONFLICT, r.revision(), r.failed()));
+                  } else {
+                    boolean refused = reply.status() >= 400;
+                    done.accept(
+                        new Outcome(
+                            refused ? Outcome.Kind.REFUSED : Outcome.Kind.UNKNOWN, 0, List.of()));
+                  }
+                }),
+        () -> done.accept(new Outcome(Outcome.Kind.REFUSED, 0, List.of())));
+  }
+
+  /** Hands the new lease's id, or -1. Not queued: ownership must not wait behind other calls. */
+  public void hold(long lifeMs, Consumer<Long> done) {
+    reads.force();
+    send(
+        "POST",
+        "/holds",
+        Json.write(new StoreMessages.Life(lifeMs)),
+        LIMIT_MS,
+        reply -> {
+          StoreMessages.Lease l =
+              reply.ok() ? Json.read(reply.body(), StoreMessages.Lease.class) : null;
+          done.accept(l == null ? -1 : l.id());
+        });
+  }
+
+  /** Hands the status: 200 renewed, 404 ended, anything else unknown. */
+  public void renew(long lease, Consumer<Integer> done) {
+    reads.force();
+    send(
+        "POST",
+        "/holds/" + lease + "/renew",
+        new byte[0],
+        LIMIT_MS,
+        reply -> done.accept(reply.status()));
+  }
+
+  public void follow(String prefix, long from, long blockMs, Consumer<Followed> done) {
+    reads.force();
+    web.call(
+        address,
+        "GET",
+        "/follow?prefix=" + prefix + "&from=" + from + "&block_ms=" + blockMs,
+        null,
+        blockMs + LIMIT_MS,
+        reply -> {
+          StoreMessages.Events e =
+              reply.ok() ? Json.read(reply.body(), StoreMessages.Events.class) : null;
+          if (e == null) {
+            done.accept(new Followed(reply.ok() ? 0 : reply.status(), List.of(), from));
+            return;
+          }
+          List<Item> items =
+              e.changes() == null
+                  ? List.of()
+                  : e.changes().stream()
+                      .map(
+                          c ->
+                              c.put() != null
+                                  ? new Item(c.put(), c.value(), c.version())
+                                  : new Item(c.delete(), null, c.version()))
+                      .toList();
+          done.accept(new Followed(200, items, e.revision()));
+        });
+  }
+
+  private void send(
+      String method, String path, byte[] body, long limitMs, Consumer<Web.Reply> done) {
+    web.call(
+        address,
+        method,
+        path,
+        body,
+        limitMs,
+        reply -> {
+          if (reply.status() == 429) {
+            reads.slowDown();
+            writes.slowDown();
+          }
+          if (reply.status() == 0 || reply.status() == 503) {
+            firstFailMs = firstFailMs < 0 ? loop.nowMs() : firstFailMs;
+          } else {
+            firstFailMs = -1;
+            lastOkMs = loop.nowMs();
+          }
+          done.accept(reply);
+        });
+  }
+
+  private void paced(int writeCost, Runnable send, Runnable refuse) {
+    if (queue.size() >= QUEUE) {
+      refuse.run();
+      return;
+    }
+    queue.add(new Waiting(writeCost, send, refuse));
+    pump();
+  }
+
+  private void pump() {
+    if (pumping) {
+      return;
+    }
+    pumping = true;
+    try {
+      while (!queue.isEmpty()) {
+        Waiting w = queue.peek();
+        long wait = Math.max(reads.waitMs(1), writes.waitMs(w.writeCost));
+        if (wait > 0) {
+          loop.after(wait, this::pump);
+          return;
+        }
+        queue.poll();
+        reads.take(1);
+        writes.take(w.writeCost);
+        w.send.run();
+      }
+    } finally {
+      pumping = false;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/windbend/worker/WorkerDesk.java
@@ -0,0 +1,179 @@
+package dev.windbend.worker;
+
+import dev.windbend.job.Job;
+import dev.windbend.job.Placement;
+import dev.windbend.machine.Machine;
+import dev.windbend.worker.WorkerMessages.Order;
+import dev.windbend.worker.WorkerMessages.Report;
+import dev.windbend.worker.WorkerMessages.TaskState;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Learns from reports, and answers each with the difference between wanted and reported tasks. */
+public final class WorkerDesk {
+  private static final Logger LOG = LoggerFactory.getLogger(WorkerDesk.class);
+  private static final long FULL_MS = 3_000;
+  private static final long UNKNOWN_MS = 3_000;
+
+  private final Book book;
+
+  /** What the desk needs of the part's owner. */
+  public interface Book {
+    /** Null if it is not a live job of this part. */
+    Job job(String uid);
+
+    /** The job's records have changed. */
+    void touched(Job job);
+
+    void completed(Placement placement, long nowMs);
+
+    void failed(Placement placement, Machine machine);
+
+    int image(String name);
+  }
+
+  public WorkerDesk(Book book) {
+    this.book = book;
+  }
+
+  /** Takes in a report that is newer than all before and came under our token. */
+  public void absorb(Machine m, Report r, long nowMs) {
+    Set<Placement> present = new HashSet<>();
+    for (TaskState t : r.tasks()) {
+      Placement p = m.tasks.get(t.task());
+      if (p != null && p.attempt == t.attempt()) {
+        present.add(p);
+        p.seen = true;
+        if (t.exited()) {
+          exited(m, p, t, nowMs);
+        } else if (t.running() && p.runningMs < 0) {
+          p.runningMs = nowMs;
+          m.images.add(book.image(p.job.spec.image()));
+        }
+        p.flushing = t.flushing();
+      } else if (t.exited() && "done".equals(t.cause())) {
+        foundDone(t, nowMs);
+      }
+    }
+    for (Placement p : List.copyOf(m.tasks.values())) {
+      if (!present.contains(p) && provedGone(p, r)) {
+        LOG.info("{} attempt {} is gone from {}", p.taskName(), p.attempt, m.name);
+        leave(m, p, nowMs);
+      }
+    }
+  }
+
+  /**
+   * The report lacks the attempt. It is gone if it was there before, or if it came from a former
+   * owner: no start of theirs can be executed any more, as the worker has seen our token. A start
+   * of ours may only be written off when it is not wanted any more and the report was sent after
+   * the answer that carried it was used or dropped.
+   */
+  private static boolean provedGone(Placement p, Report r) {
+    return p.seen
+        || p.inherited
+        || p.stopping()
+            && (p.sentShift < r.shift() || p.sentShift == r.shift() && p.sentTally < r.tally());
+  }
+
+  private void leave(Machine m, Placement p, long nowMs) {
+    m.remove(p, nowMs);
+    p.job.gone(p, nowMs);
+    book.touched(p.job);
+  }
+
+  private void exited(Machine m, Placement p, TaskState t, long nowMs) {
+    String cause = t.cause() == null ? "" : t.cause();
+    LOG.debug("{} attempt {} exited on {}: {}", p.taskName(), p.attempt, m.name, cause);
+    switch (cause) {
+      case "done" -> {
+        p.job.complete(p.task, nowMs);
+        book.completed(p, nowMs);
+        m.failedJobs.clear();
+      }
+      case "error" -> book.failed(p, m);
+      case "no_room", "in_use" -> m.fullUntilMs = nowMs + FULL_MS;
+      case "unknown" -> p.job.notBeforeMs = nowMs + UNKNOWN_MS;
+      default -> {
+        // stopped as asked: it goes back to wait
+      }
+    }
+    leave(m, p, nowMs);
+  }
+
+  /** A result nobody waited for, of an attempt that was given up: it counts all the same. */
+  private void foundDone(TaskState t, long nowMs) {
+    Job job = job(t.task());
+    int task = index(t.task());
+    if (job == null || task < 0 || task >= job.spec.tasks() || job.isDone(task)) {
+      return;
+    }
+    job.complete(task, nowMs);
+    Placement other = job.placement(task);
+    if (other != null) {
+      other.stop(0);
+    }
+    book.touched(job);
+  }
+
+  /** The orders that make the reported tasks the wanted ones. Starts only if they may go out. */
+  public List<Order> orders(Machine m, Report r, boolean mayStart) {
+    List<Order> stops = new ArrayList<>();
+    List<Order> rest = new ArrayList<>();
+    Set<String> reported = new HashSet<>();
+    for (TaskState t : r.tasks()) {
+      Placement p = m.tasks.get(t.task());
+      boolean wanted = p != null && p.attempt == t.attempt();
+      if (wanted) {
+        reported.add(t.task());
+      }
+      if (t.exited()) {
+        if (mayForget(t)) {
+          rest.add(Order.forget(t.task(), t.attempt()));
+        }
+      } else if (!wanted) {
+        stops.add(Order.stop(t.task(), t.attempt(), 0));
+      } else if (p.stopping() && (!t.flushing() || p.stopGraceS == 0)) {
+        stops.add(Order.stop(t.task(), t.attempt(), p.stopGraceS));
+      }
+    }
+    if (mayStart) {
+      for (Placement p : m.tasks.values()) {
+        if (!reported.contains(p.taskName()) && !p.seen && p.job.startable(p)) {
+          p.sentShift = r.shift();
+          p.sentTally = r.tally();
+          rest.add(Order.start(p.taskName(), p.attempt));
+        }
+      }
+    }
+    stops.addAll(rest);
+    return stops;
+  }
+
+  /** A completed task's exit is kept on the machine until the record says it is done. */
+  private boolean mayForget(TaskState t) {
+    if (!"done".equals(t.cause())) {
+      return true;
+    }
+    Job job = job(t.task());
+    int task = index(t.task());
+    return job == null || task < 0 || task >= job.spec.tasks() || job.doneRecorded(task);
+  }
+
+  private Job job(String taskName) {
+    int slash = taskName.lastIndexOf('/');
+    return slash < 0 ? null : book.job(taskName.substring(0, slash));
+  }
+
+  private static int index(String taskName) {
+    try {
+      return Integer.parseInt(taskName.substring(taskName.lastIndexOf('/') + 1));
+    } catch (NumberFormatException e) {
+      return -1;
+    }
+  }
+}
