--- a/src/main/java/dev/windbend/part/Owner.java
+++ b/src/main/java/dev/windbend/part/Owner.java
@@ -574,7 +574,9 @@
       changed.add(job);
     }
     changed.forEach(this::touched);
-    for (Wanted.Rental r : wanted.rentals()) {
+    // Event rounds are many: while the cloud has not answered the last rental, none is added.
+    for (Wanted.Rental r :
+        fleet.pending().isEmpty() ? wanted.rentals() : List.<Wanted.Rental>of()) {
       Snapshot.Offer o = offers.get(r.offer());
       fleet.rent(catalog.type(o.type()), o.zone(), o.spot(), r.count());
     }
--- a/src/main/java/dev/windbend/store/Committer.java
+++ b/src/main/java/dev/windbend/store/Committer.java
@@ -15,6 +15,8 @@
 public final class Committer {
   private static final Logger LOG = LoggerFactory.getLogger(Committer.class);
 
+  private static final long AGAIN_MS = 300;
+
   private final Loop loop;
   private final StoreClient store;
   private final String guardKey;
@@ -25,6 +27,7 @@
   private boolean busy;
   private boolean closed;
   private boolean scheduled;
+  private long notBeforeMs;
 
   public Committer(
       Loop loop,
@@ -57,10 +60,10 @@
   /** Called now and then, so that changes in no hurry are written too. */
   public void run() {
     scheduled = false;
-    if (busy || closed || changed.isEmpty()) {
+    long now = loop.nowMs();
+    if (busy || closed || changed.isEmpty() || now < notBeforeMs) {
       return;
     }
-    long now = loop.nowMs();
     List<Unit> batch = new ArrayList<>();
     Draft draft = new Draft().when(guardKey, guardVersion);
     boolean urgent = false;
@@ -110,8 +113,8 @@
     if (outcome.kind() != Outcome.Kind.CONFLICT) {
       // Not known whether it was applied: the same conditions go again, so at most one of both can
       // be, and a conflict then shows which.
-      LOG.info("write {}: again soon", outcome.kind());
-      again(300);
+      LOG.debug("write {}: again soon", outcome.kind());
+      again(AGAIN_MS);
       return;
     }
     if (outcome.failed().contains(guardKey)) {
@@ -141,13 +144,14 @@
             open.remove(key);
             if (open.isEmpty()) {
               busy = false;
-              again(sure[0] ? 0 : 300);
+              again(sure[0] ? 0 : AGAIN_MS);
             }
           });
     }
   }
 
   private void again(long ms) {
+    notBeforeMs = loop.nowMs() + ms;
     loop.after(ms, this::run);
   }
 }
