--- a/src/main/java/dev/windbend/daemon/Node.java
+++ b/src/main/java/dev/windbend/daemon/Node.java
@@ -9,7 +9,7 @@
 import dev.windbend.job.JobSpec;
 import dev.windbend.machine.Catalog;
 import dev.windbend.machine.CloudClient;
-import dev.windbend.machine.HireRecord;
+import dev.windbend.machine.MachineRecord;
 import dev.windbend.machine.MachineType;
 import dev.windbend.overload.Gate;
 import dev.windbend.part.Claims;
@@ -17,6 +17,7 @@
 import dev.windbend.part.Layout;
 import dev.windbend.part.Owner;
 import dev.windbend.part.Policy;
+import dev.windbend.peer.Lending;
 import dev.windbend.peer.Peers;
 import dev.windbend.plan.Estimates;
 import dev.windbend.store.Replica;
@@ -55,13 +56,13 @@
   private final Layout layout;
   private final Claims claims;
   private final Peers peers;
+  private final Lending lending;
   private final Facts facts;
   private final Gate gate;
   private final Estimates estimates = new Estimates();
   private final Names images = new Names();
   private final Map<Integer, Owner> owners = new LinkedHashMap<>();
   private final Object2IntOpenHashMap<String> partOfMachine = new Object2IntOpenHashMap<>();
-  private final Map<String, List<String>> machinesOfHire = new HashMap<>();
   private final Map<String, Boolean> former =
       new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
@@ -81,9 +82,11 @@
     Settings.Facts f = settings.facts();
     List<String> nodes = new ArrayList<>(List.of(settings.node()));
     List<String> addresses = new ArrayList<>();
+    Map<String, String> peerAddresses = new HashMap<>();
     for (Settings.Seed p : settings.peers()) {
       nodes.add(p.node());
       addresses.add(p.address());
+      peerAddresses.put(p.node(), p.address());
     }
     int size = Math.max(f.nodes(), nodes.size());
     this.store =
@@ -101,6 +104,7 @@
     this.layout = new Layout(f.teams().stream().map(Settings.Team::name).toList(), nodes);
     this.claims = new Claims(loop, store, replica, layout, settings.node(), policy.holdMs(), this);
     this.peers = new Peers(loop, web, store, addresses);
+    this.lending = new Lending(web, layout.parts(), claims::owner, peerAddresses, this::lend);
     this.facts = facts(settings, size);
     this.gate = new Gate(loop, new JobDoor(loop, store, this::judge)::handle);
     partOfMachine.defaultReturnValue(-1);
@@ -165,7 +169,8 @@
             claims,
             estimates,
             images,
-            peers::othersServed);
+            peers::othersServed,
+            lending);
     owners.put(part, o);
     o.start();
   }
@@ -178,30 +183,30 @@
     }
   }
 
+  /** An owner elsewhere, or of another part here, lacks machines. -1: the part is not ours. */
+  private int lend(int from, int to, int count, boolean guaranteed) {
+    Owner o = owners.get(from);
+    return o == null ? -1 : o.lend(to, count, guaranteed);
+  }
+
   private void changed(String key, Stored now) {
     if (key.startsWith(JobRecord.LIVE)) {
       String uid = key.substring(JobRecord.LIVE.length());
       for (Owner o : List.copyOf(owners.values())) {
         o.jobChanged(uid, now);
       }
-    } else if (key.startsWith(HireRecord.KEYS)) {
-      int part =
-          Integer.parseInt(
-              key.substring(HireRecord.KEYS.length(), key.indexOf('/', HireRecord.KEYS.length())));
-      HireRecord r = now == null ? null : Json.read(now.value(), HireRecord.class);
-      List<String> names = r == null || r.machines() == null ? List.of() : r.machines();
-      List<String> before =
-          names.isEmpty() ? machinesOfHire.remove(key) : machinesOfHire.put(key, names);
-      if (before != null) {
-        for (String m : before) {
-          partOfMachine.removeInt(m);
-          former.put(m, true);
+    } else if (key.startsWith(MachineRecord.KEYS)) {
+      String name = key.substring(MachineRecord.KEYS.length());
+      MachineRecord r = now == null ? null : Json.read(now.value(), MachineRecord.class);
+      if (r == null) {
+        partOfMachine.removeInt(name);
+        former.put(name, true);
+      } else {
+        partOfMachine.put(name, r.part());
+        for (Owner o : List.copyOf(owners.values())) {
+          o.machineChanged(name, now);
         }
       }
-      for (String m : names) {
-        partOfMachine.put(m, part);
-        former.remove(m);
-      }
     }
   }
 
@@ -237,6 +242,7 @@
   public void servePeer(Web.Request request, Consumer<Web.Answer> done) {
     switch (request.path()) {
       case Peers.PATH -> method("GET", request, done, () -> done.accept(peers.view()));
+      case Lending.PATH -> method("POST", request, done, () -> lending.serve(request, done));
       case "/metrics" ->
           method("GET", request, done, () -> done.accept(Web.Answer.of(200, metrics())));
       default -> done.accept(Web.Answer.bare(404));
--- a/src/main/java/dev/windbend/daemon/Operator.java
+++ b/src/main/java/dev/windbend/daemon/Operator.java
@@ -38,7 +38,7 @@
     return new Policy(
         millis(ini, "plan", "period_s", 10, 0.5),
         flag(ini, "plan", "rounds_on_events", true),
-        millis(ini, "plan", "block_s", 300, 1),
+        millis(ini, "plan", "block_s", 60, 1),
         number(ini, "plan", "implied_due", 4, 1),
         millis(ini, "part", "hold_s", 6, 1),
         flag(ini, "plan", "due_from_aims", true));
--- a/src/main/java/dev/windbend/machine/Fleet.java
+++ b/src/main/java/dev/windbend/machine/Fleet.java
@@ -12,7 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -38,6 +38,10 @@
   private final Set<Machine> leaving = new LinkedHashSet<>();
   private final Object2LongOpenHashMap<String> refusedUntil = new Object2LongOpenHashMap<>();
   private final Map<String, Long> unknownSince = new HashMap<>();
+
+  /** Last known versions of machines that left, so that old news do not bring them back. */
+  private final Object2LongOpenHashMap<String> left = new Object2LongOpenHashMap<>();
+
   private long sequence;
   private boolean givingBack;
   private boolean closed;
@@ -76,37 +80,50 @@
     return machines.get(name);
   }
 
-  /** A rental found in the state service: unanswered ones are asked again under their name. */
+  /** A rental found in the state service: it is asked again under its name. */
   public void restore(String name, HireRecord record, long version) {
-    Hire h = hire(name, record);
-    if (h == null) {
-      return;
-    }
-    h.stored(version);
-    if (h.answered) {
-      h.machines.forEach(m -> add(m, h));
-      if (h.machines.isEmpty()) {
-        h.finish(loop.nowMs());
-        host.touch(h);
-      }
+    hire(name, record, version);
+  }
+
+  /** A machine found in the state service, or given to this part by another. */
+  public boolean restore(String name, MachineRecord record, long version) {
+    MachineType type = catalog.find(record.type());
+    if (machines.containsKey(name) || type == null || version <= left.getLong(name)) {
+      return false;
     }
+    add(name, type, record.zone(), record.spot(), version, loop.nowMs());
+    return true;
   }
 
-  private Hire hire(String name, HireRecord record) {
+  private Hire hire(String name, HireRecord record, long version) {
     MachineType type = catalog.find(record.type());
     if (type == null) {
       LOG.error("rental {} names the unknown type {}", name, record.type());
       return null;
     }
     int zone = catalog.zones.index(record.zone());
-    Hire h = new Hire(name, part, record, type, zone, loop.nowMs());
+    Hire h = new Hire(name, part, record, type, zone, version, loop.nowMs());
     hires.put(name, h);
     return h;
   }
 
-  private Machine add(String name, Hire h) {
-    Machine m = new Machine(name, h.type, h.zone, h.asked.spot(), h, h.madeMs, loop.nowMs());
+  private Machine add(
+      String name, MachineType type, String zone, boolean spot, long version, long rentedMs) {
+    Machine m =
+        new Machine(
+            name,
+            type,
+            catalog.zones.index(zone),
+            zone,
+            spot,
+            part,
+            version,
+            rentedMs,
+            loop.nowMs());
     machines.put(name, m);
+    if (m.dirty()) {
+      host.touch(m);
+    }
     return m;
   }
 
@@ -123,7 +140,7 @@
   public Collection<Pending> pending() {
     List<Pending> all = new ArrayList<>();
     for (Hire h : hires.values()) {
-      if (!h.answered && !h.over()) {
+      if (!h.answered) {
         all.add(new Pending(h.type, h.zone, h.asked.spot(), h.asked.count(), h.madeMs));
       }
     }
@@ -140,8 +157,8 @@
           hire(
               name,
               new HireRecord(
-                  type.name(), catalog.zones.name(zone), spot, Math.min(left, HIRE_BATCH), null));
-      h.touched(loop.nowMs(), true);
+                  type.name(), catalog.zones.name(zone), spot, Math.min(left, HIRE_BATCH)),
+              0);
       host.touch(h);
       LOG.info(
           "renting {}: {} {} in {} spot={}",
@@ -155,24 +172,33 @@
 
   /** Takes in a machine that nobody rented under a known name. */
   public void adopt(String name, String typeName, String zoneName, boolean spot) {
-    if (machines.containsKey(name) || hires.containsKey("a-" + name)) {
-      return;
-    }
-    Hire h = hire("a-" + name, new HireRecord(typeName, zoneName, spot, 1, List.of(name)));
-    if (h != null) {
+    MachineType type = catalog.find(typeName);
+    if (!machines.containsKey(name) && type != null) {
       LOG.info("adopting {}", name);
-      h.touched(loop.nowMs(), true);
-      add(name, h);
-      host.touch(h);
+      add(name, type, zoneName, spot, 0, loop.nowMs());
     }
   }
 
-  /**
-   * The machine may be used: a record names it. Without that a successor would not find it, take
-   * its tasks for gone and start them twice.
-   */
-  public boolean recorded(Machine m) {
-    return m.hire.listed();
+  /** Gives an empty machine to another part; used no more from now on. */
+  public void lend(Machine m, int to) {
+    LOG.info("lending {} to part {}", m.name, to);
+    m.moveTo(to);
+    host.touch(m);
+  }
+
+  /** Takes note of what has been written: machines given away, rentals that are complete. */
+  public void afterWrite() {
+    for (Machine m : List.copyOf(machines.values())) {
+      if (m.moved()) {
+        machines.remove(m.name);
+        left.put(m.name, m.version());
+      }
+    }
+    for (Hire h : List.copyOf(hires.values())) {
+      if (h.answered && h.machines.stream().allMatch(m -> m.version() > 0 || m.gone)) {
+        drop(h);
+      }
+    }
   }
 
   public void giveBack(Machine m, String why) {
@@ -190,7 +216,7 @@
       return;
     }
     for (Hire h : List.copyOf(hires.values())) {
-      if (!h.answered && !h.over() && h.recorded() && !h.asking) {
+      if (!h.answered && h.recorded() && !h.asking) {
         ask(h);
       }
     }
@@ -205,7 +231,7 @@
             }
             if (ok) {
               givingBack = false;
-              batch.forEach(this::left);
+              batch.forEach(this::returned);
               pursue();
             } else {
               loop.after(
@@ -219,19 +245,12 @@
     }
   }
 
-  private void left(Machine m) {
+  private void returned(Machine m) {
     leaving.remove(m);
     m.gone = true;
     machines.remove(m.name);
-    Hire h = m.hire;
-    h.machines.remove(m.name);
-    if (h.machines.isEmpty()) {
-      hires.remove(h.name);
-      h.finish(loop.nowMs());
-    } else {
-      h.touched(loop.nowMs(), false);
-    }
-    host.touch(h);
+    left.put(m.name, m.version());
+    host.touch(m);
     host.gone(m);
   }
 
@@ -248,17 +267,15 @@
             case GOT -> {
               h.asking = false;
               h.answered = true;
-              h.machines.addAll(names);
-              names.forEach(m -> add(m, h));
+              for (String n : names) {
+                if (!machines.containsKey(n)) {
+                  h.machines.add(add(n, h.type, h.asked.zone(), h.asked.spot(), 0, h.madeMs));
+                }
+              }
               if (names.size() < h.asked.count()) {
                 refuse(h);
               }
-              if (names.isEmpty()) {
-                drop(h);
-              } else {
-                h.touched(loop.nowMs(), true);
-                host.touch(h);
-              }
+              afterWrite();
               host.fleetChanged();
             }
             case REFUSED, MALFORMED -> {
@@ -285,7 +302,7 @@
 
   private void drop(Hire h) {
     hires.remove(h.name);
-    h.finish(loop.nowMs());
+    h.finish();
     host.touch(h);
   }
 
@@ -293,7 +310,7 @@
    * Looks through the cloud's list for failed machines of ours and, if this part looks after
    * strays, for machines that no part knows. The list lags, so strays must stay unknown for long.
    */
-  public void check(long strayMs, boolean strays, Set<String> known, Consumer<String> foundStray) {
+  public void check(long strayMs, boolean strays, Predicate<String> known) {
     cloud.list(
         listed -> {
           if (closed || listed == null) {
@@ -306,11 +323,10 @@
               if ("failed".equals(l.status())) {
                 giveBack(m, "failed");
               }
-            } else if (strays && !known.contains(l.name())) {
+            } else if (strays && !known.test(l.name())) {
               now.add(l.name());
               long since = unknownSince.computeIfAbsent(l.name(), k -> loop.nowMs());
               if (loop.nowMs() - since >= strayMs) {
-                foundStray.accept(l.name());
                 adopt(l.name(), l.type(), l.zone(), l.spot());
               }
             }
--- a/src/main/java/dev/windbend/machine/Hire.java
+++ b/src/main/java/dev/windbend/machine/Hire.java
@@ -3,90 +3,60 @@
 import dev.windbend.store.Draft;
 import dev.windbend.store.Stored;
 import dev.windbend.store.Unit;
-import java.util.LinkedHashSet;
+import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
 
-/** One rental: recorded before the cloud is asked, kept until all its machines are gone. */
+/** One rental: recorded before the cloud is asked, until each of its machines has a record. */
 final class Hire implements Unit {
-  private static final long LAZY_MS = 2_000;
-
   final String name;
   final String key;
   final MachineType type;
   final int zone;
   final HireRecord asked;
-  final Set<String> machines = new LinkedHashSet<>();
   final long madeMs;
-  boolean answered;
+  final List<Machine> machines = new ArrayList<>();
   boolean asking;
+  boolean answered;
   private boolean over;
-  private boolean removed;
   private long version;
-  private long changes;
-  private long written;
-  private long inFlight = -1;
-  private long dirtySinceMs;
-  private boolean hurry;
-  private boolean deleting;
-  private boolean listing;
-  private boolean listed;
+  private boolean inFlight;
+  private boolean removed;
 
-  Hire(String name, int part, HireRecord asked, MachineType type, int zone, long nowMs) {
+  /** {@code version} 0: not stored yet. */
+  Hire(
+      String name,
+      int part,
+      HireRecord asked,
+      MachineType type,
+      int zone,
+      long version,
+      long nowMs) {
     this.name = name;
     this.key = HireRecord.prefix(part) + name;
     this.asked = asked;
     this.type = type;
     this.zone = zone;
+    this.version = version;
     this.madeMs = nowMs;
-    if (asked.machines() != null) {
-      answered = true;
-      machines.addAll(asked.machines());
-    }
-  }
-
-  /** Found in the state service with this version. */
-  Hire stored(long v) {
-    version = v;
-    listed = answered;
-    return this;
   }
 
   boolean recorded() {
     return version > 0;
   }
 
-  /** The record names the machines, so a successor would know what may run on them. */
-  boolean listed() {
-    return listed;
-  }
-
-  boolean over() {
-    return over;
-  }
-
-  /** Nothing of it is left: the record goes. */
-  void finish(long nowMs) {
+  /** Nothing depends on the record any more. */
+  void finish() {
     over = true;
-    touched(nowMs, false);
-  }
-
-  void touched(long nowMs, boolean soon) {
-    if (changes == written) {
-      dirtySinceMs = nowMs;
-    }
-    changes++;
-    hurry |= soon;
   }
 
   @Override
   public boolean dirty() {
-    return inFlight < 0 && changes > written && !removed;
+    return !inFlight && !removed && (over || version == 0);
   }
 
   @Override
   public boolean urgent(long nowMs) {
-    return hurry || nowMs - dirtySinceMs >= LAZY_MS;
+    return !over;
   }
 
   @Override
@@ -96,49 +66,31 @@
 
   @Override
   public void fill(Draft draft) {
-    inFlight = changes;
-    hurry = false;
-    deleting = over;
-    listing = answered;
+    inFlight = true;
     draft.when(key, version);
     if (over) {
       draft.delete(key);
     } else {
-      draft.put(
-          key,
-          new HireRecord(
-              asked.type(),
-              asked.zone(),
-              asked.spot(),
-              asked.count(),
-              answered ? List.copyOf(machines) : null));
+      draft.put(key, asked);
     }
   }
 
   @Override
   public void written(long revision) {
-    written = inFlight;
-    inFlight = -1;
+    inFlight = false;
     version = revision;
-    removed = deleting;
-    listed |= listing;
+    removed = over;
   }
 
   @Override
   public void unwritten() {
-    inFlight = -1;
-    hurry = true;
+    inFlight = false;
   }
 
   @Override
   public void reread(String k, Stored now) {
-    if (now != null) {
-      version = now.version();
-    } else if (over) {
-      removed = true;
-    } else {
-      version = 0;
-    }
+    version = now == null ? 0 : now.version();
+    removed = over && now == null;
   }
 
   @Override
--- a/src/main/java/dev/windbend/machine/HireRecord.java
+++ b/src/main/java/dev/windbend/machine/HireRecord.java
@@ -1,15 +1,13 @@
 package dev.windbend.machine;
 
 import com.fasterxml.jackson.annotation.JsonProperty;
-import java.util.List;
 
-/** A rental as stored; {@code machines} is null until the cloud has answered. */
+/** A rental as stored, from before the cloud is asked until all its machines have records. */
 public record HireRecord(
     @JsonProperty("type") String type,
     @JsonProperty("zone") String zone,
     @JsonProperty("spot") boolean spot,
-    @JsonProperty("count") int count,
-    @JsonProperty("machines") List<String> machines) {
+    @JsonProperty("count") int count) {
   /** Below it: part, then the rental's name. */
   public static final String KEYS = "w/h/";
 
--- a/src/main/java/dev/windbend/machine/Machine.java
+++ b/src/main/java/dev/windbend/machine/Machine.java
@@ -1,19 +1,25 @@
 package dev.windbend.machine;
 
+import dev.windbend.daemon.io.Json;
 import dev.windbend.job.Placement;
+import dev.windbend.store.Draft;
+import dev.windbend.store.Stored;
+import dev.windbend.store.Unit;
 import it.unimi.dsi.fastutil.ints.IntOpenHashSet;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
 
-/** A machine of the part, as its owner knows it. */
-public final class Machine {
+/** A machine of the part, as its owner knows it, with the record that says whose it is. */
+public final class Machine implements Unit {
   public final String name;
   public final MachineType type;
   public final int zone;
   public final boolean spot;
-  final Hire hire;
+  private final String key;
+  private final int part;
+  private final String zoneName;
 
   /** When it was asked for (steady clock); for inherited ones, when it was taken over. */
   public final long rentedMs;
@@ -53,23 +59,132 @@
   /** Start refused for lack of room: nothing new before this time. */
   public long fullUntilMs;
 
+  /** Goes to this part once it is empty, -1: stays. */
+  public int promisedTo = -1;
+
+  private int wantedPart;
+  private int recordedPart = -1;
+  private int writingPart = -1;
+  private long version;
+  private boolean inFlight;
+  private boolean removed;
+
+  /** {@code version} 0: not stored yet. */
   Machine(
-      String name, MachineType type, int zone, boolean spot, Hire hire, long rentedMs, long nowMs) {
+      String name,
+      MachineType type,
+      int zone,
+      String zoneName,
+      boolean spot,
+      int part,
+      long version,
+      long rentedMs,
+      long nowMs) {
     this.name = name;
+    this.key = MachineRecord.KEYS + name;
     this.type = type;
     this.zone = zone;
+    this.zoneName = zoneName;
     this.spot = spot;
-    this.hire = hire;
+    this.part = part;
+    this.wantedPart = part;
+    this.version = version;
+    this.recordedPart = version > 0 ? part : -1;
     this.rentedMs = rentedMs;
     this.idleSinceMs = nowMs;
   }
 
+  /**
+   * The fencing token for this machine: its record's version if that is above the claim's, so that
+   * a part that is given a machine outdoes the giver.
+   */
+  public long token(long claim) {
+    return Math.max(claim, version);
+  }
+
+  public long version() {
+    return version;
+  }
+
+  /**
+   * The machine may be used: the record says it is ours. Without that a successor would not find
+   * it, take its tasks for gone and start them twice.
+   */
+  public boolean recorded() {
+    return recordedPart == part && wantedPart == part;
+  }
+
+  void moveTo(int to) {
+    wantedPart = to;
+  }
+
+  boolean moved() {
+    return recordedPart >= 0 && recordedPart != part;
+  }
+
+  @Override
+  public boolean dirty() {
+    return !inFlight && !removed && (gone ? recordedPart >= 0 : wantedPart != recordedPart);
+  }
+
+  @Override
+  public boolean urgent(long nowMs) {
+    return !gone;
+  }
+
+  @Override
+  public int cost() {
+    return 1;
+  }
+
+  @Override
+  public void fill(Draft draft) {
+    inFlight = true;
+    writingPart = gone ? -1 : wantedPart;
+    draft.when(key, version);
+    if (gone) {
+      draft.delete(key);
+    } else {
+      draft.put(key, new MachineRecord(wantedPart, type.name(), zoneName, spot));
+    }
+  }
+
+  @Override
+  public void written(long revision) {
+    inFlight = false;
+    version = revision;
+    recordedPart = writingPart;
+    removed = writingPart < 0;
+  }
+
+  @Override
+  public void unwritten() {
+    inFlight = false;
+  }
+
+  @Override
+  public void reread(String k, Stored now) {
+    MachineRecord r = now == null ? null : Json.read(now.value(), MachineRecord.class);
+    version = now == null ? 0 : now.version();
+    recordedPart = r == null ? -1 : r.part();
+    removed = gone && r == null;
+    if (moved()) {
+      // Already given away, by an earlier write of ours or by a former owner: it stays there.
+      wantedPart = recordedPart;
+    }
+  }
+
+  @Override
+  public boolean owns(String k) {
+    return k.equals(key);
+  }
+
   public boolean newer(long s, long t) {
     return s > shift || s == shift && t > tally;
   }
 
   public boolean usable(long nowMs) {
-    return confirmed && !draining && !returning && !gone && nowMs >= fullUntilMs;
+    return recorded() && confirmed && !draining && !returning && !gone && nowMs >= fullUntilMs;
   }
 
   public void add(Placement p) {
--- a/src/main/java/dev/windbend/part/Owner.java
+++ b/src/main/java/dev/windbend/part/Owner.java
@@ -12,6 +12,7 @@
 import dev.windbend.machine.Fleet;
 import dev.windbend.machine.HireRecord;
 import dev.windbend.machine.Machine;
+import dev.windbend.machine.MachineRecord;
 import dev.windbend.machine.MachineType;
 import dev.windbend.plan.Estimates;
 import dev.windbend.plan.Planner;
@@ -33,6 +34,7 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.IntConsumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -43,6 +45,7 @@
 public final class Owner implements WorkerDesk.Book, Fleet.Host {
   private static final Logger LOG = LoggerFactory.getLogger(Owner.class);
   private static final long TICK_MS = 500;
+  private static final long ASK_GAP_MS = 1_000;
   private static final long GAP_MS = 150;
   private static final long COMMIT_WAIT_MS = 400;
   private static final long RECALL_SLACK_MS = 1_000;
@@ -71,6 +74,10 @@
   private final WorkerDesk desk;
   private final Map<String, Job> jobs = new LinkedHashMap<>();
   private final List<Waiting> answers = new ArrayList<>();
+  private final List<Machine> spare = new ArrayList<>();
+  private final Lender lender;
+  private boolean asking;
+  private long lastAskMs = Long.MIN_VALUE / 2;
   private boolean ready;
   private boolean closed;
   private boolean roundDue;
@@ -78,6 +85,11 @@
   private long lastCheckMs;
   private long sureSinceMs = -1;
 
+  /** Asks the other parts' owners for machines; hands how many are coming. */
+  public interface Lender {
+    void ask(int part, int count, boolean guaranteed, IntConsumer given);
+  }
+
   /** A worker's report whose answer waits for a write. */
   private record Waiting(
       Machine machine, WorkerMessages.Report report, long untilMs, Consumer<Web.Answer> done) {}
@@ -96,7 +108,8 @@
       Claims claims,
       Estimates estimates,
       Names images,
-      BooleanSupplier othersServed) {
+      BooleanSupplier othersServed,
+      Lender lender) {
     this.part = part;
     this.token = token;
     this.loop = loop;
@@ -109,6 +122,7 @@
     this.estimates = estimates;
     this.images = images;
     this.othersServed = othersServed;
+    this.lender = lender;
     this.committer =
         new Committer(
             loop, store, Claims.key(part), token, () -> claims.lose(part), this::afterWrite);
@@ -133,6 +147,9 @@
             e.getKey().substring(HireRecord.prefix(part).length()), r, e.getValue().version());
       }
     }
+    for (Map.Entry<String, Stored> e : replica.below(MachineRecord.KEYS).entrySet()) {
+      machineChanged(e.getKey().substring(MachineRecord.KEYS.length()), e.getValue());
+    }
     for (Map.Entry<String, Stored> e : replica.below(JobRecord.LIVE).entrySet()) {
       take(e.getValue(), now);
     }
@@ -197,7 +214,7 @@
       if (m != null) {
         m.add(p);
       } else {
-        // Its rental's record went only after the cloud had confirmed the machine's end.
+        // Its record went only after the cloud had confirmed its end, or once it was empty.
         job.gone(p, now);
       }
     }
@@ -236,6 +253,14 @@
     }
   }
 
+  /** A machine's record has changed: it may be ours now. */
+  public void machineChanged(String name, Stored now) {
+    MachineRecord r = now == null ? null : Json.read(now.value(), MachineRecord.class);
+    if (r != null && r.part() == part && fleet.restore(name, r, now.version()) && ready) {
+      LOG.info("{} is ours now", name);
+    }
+  }
+
   private void stopAll(Job job) {
     job.placements().forEach(p -> p.stop(0));
   }
@@ -256,31 +281,26 @@
   }
 
   private boolean rentalOpen() {
-    for (Stored s : replica.below(HireRecord.KEYS).values()) {
-      HireRecord r = Json.read(s.value(), HireRecord.class);
-      if (r != null && r.machines() == null) {
-        return true;
-      }
-    }
-    return !fleet.pending().isEmpty();
+    return !replica.below(HireRecord.KEYS).isEmpty() || !fleet.pending().isEmpty();
   }
 
   public void report(WorkerMessages.Report r, Consumer<Web.Answer> done) {
     Machine m = fleet.find(r.machine());
-    if (m == null || r.token() > token) {
+    long fence = m == null ? 0 : m.token(token);
+    if (m == null || r.token() > fence) {
       done.accept(Web.Answer.bare(503));
       return;
     }
     long now = loop.nowMs();
     if (!m.newer(r.shift(), r.tally())) {
       // Held back by the network: older than what we know, and nobody waits for the answer.
-      done.accept(answer(List.of()));
+      done.accept(answer(m, List.of()));
       return;
     }
     m.shift = r.shift();
     m.tally = r.tally();
     m.seenMs = now;
-    m.confirmed = r.token() == token;
+    m.confirmed = r.token() == fence;
     if (r.recallS() != null && m.recallMs < 0) {
       m.recallMs = now + (long) (r.recallS() * 1000);
       m.draining = true;
@@ -291,7 +311,7 @@
       // Unsure of our hold, we only keep leases alive: nobody takes a lease's end for proof, and a
       // successor's token is higher. Not if others are served: then the workers should find them.
       done.accept(
-          mayAct() || !othersServed.getAsBoolean() ? answer(List.of()) : Web.Answer.bare(503));
+          mayAct() || !othersServed.getAsBoolean() ? answer(m, List.of()) : Web.Answer.bare(503));
       return;
     }
     boolean free = m.tasks.isEmpty();
@@ -335,12 +355,13 @@
   private void answerNow(Waiting w) {
     Machine m = w.machine();
     boolean newest = m.shift == w.report().shift() && m.tally == w.report().tally();
-    boolean mayStart = mayAct() && !m.returning && !m.draining && fleet.recorded(m);
-    w.done().accept(answer(newest && mayAct() ? desk.orders(m, w.report(), mayStart) : List.of()));
+    boolean mayStart = mayAct() && !m.returning && !m.draining && m.recorded();
+    w.done()
+        .accept(answer(m, newest && mayAct() ? desk.orders(m, w.report(), mayStart) : List.of()));
   }
 
-  private Web.Answer answer(List<WorkerMessages.Order> orders) {
-    return Web.Answer.of(200, new WorkerMessages.Orders(token, orders));
+  private Web.Answer answer(Machine m, List<WorkerMessages.Order> orders) {
+    return Web.Answer.of(200, new WorkerMessages.Orders(m.token(token), orders));
   }
 
   private void answerWaiting() {
@@ -355,6 +376,7 @@
 
   private void afterWrite() {
     jobs.values().removeIf(Job::archived);
+    fleet.afterWrite();
     answerWaiting();
   }
 
@@ -485,14 +507,10 @@
   }
 
   private void checkList() {
-    Set<String> known = new java.util.HashSet<>();
-    for (Stored s : replica.below(HireRecord.KEYS).values()) {
-      HireRecord r = Json.read(s.value(), HireRecord.class);
-      if (r != null && r.machines() != null) {
-        known.addAll(r.machines());
-      }
-    }
-    fleet.check((long) (8_000 * facts.listLagS()), part == 0 && !rentalOpen(), known, stray -> {});
+    fleet.check(
+        (long) (8_000 * facts.listLagS()),
+        part == 0 && !rentalOpen(),
+        name -> replica.get(MachineRecord.KEYS + name) != null);
   }
 
   /** Machines that are silent, never came up, or are due to leave. */
@@ -520,9 +538,11 @@
       } else {
         heard++;
       }
-      if (m.recallMs >= 0 && now > m.recallMs + RECALL_SLACK_MS
-          || m.draining && m.tasks.isEmpty()) {
+      boolean empty = m.draining && m.tasks.isEmpty();
+      if (m.recallMs >= 0 && now > m.recallMs + RECALL_SLACK_MS || empty && m.promisedTo < 0) {
         fleet.giveBack(m, "drained");
+      } else if (empty && m.confirmed && m.recorded()) {
+        fleet.lend(m, m.promisedTo);
       }
     }
     // Many at once look like a cut: their tasks go on behind it, so they get their whole lease.
@@ -563,8 +583,14 @@
       }
     }
     List<Snapshot.Offer> offers = offers();
-    Wanted wanted = Planner.plan(snapshot(now, works, rooms, offers));
+    List<List<Placement>> running = new ArrayList<>();
+    Wanted wanted = Planner.plan(snapshot(now, works, rooms, offers, running));
     Set<Job> changed = new java.util.LinkedHashSet<>();
+    for (Wanted.Stop stop : wanted.stops()) {
+      Placement p = running.get(stop.room()).get(stop.running());
+      LOG.info("stopping {} on {} to make room", p.taskName(), p.machine);
+      p.stop(0);
+    }
     for (Wanted.Place place : wanted.places()) {
       Job job = works.get(place.work());
       Machine m = rooms.get(place.room());
@@ -574,17 +600,128 @@
       changed.add(job);
     }
     changed.forEach(this::touched);
-    // Event rounds are many: while the cloud has not answered the last rental, none is added.
-    for (Wanted.Rental r :
-        fleet.pending().isEmpty() ? wanted.rentals() : List.<Wanted.Rental>of()) {
-      Snapshot.Offer o = offers.get(r.offer());
-      fleet.rent(catalog.type(o.type()), o.zone(), o.spot(), r.count());
+    spare.clear();
+    for (int i : wanted.spare()) {
+      spare.add(rooms.get(i));
+    }
+    if (wanted.shortCores() > 0 && !asking && now - lastAskMs >= ASK_GAP_MS) {
+      ask(wanted, offers, now);
+    } else if (!asking) {
+      rent(wanted.rentals(), offers, 0);
     }
     for (int i : wanted.giveBack()) {
       fleet.giveBack(rooms.get(i), "idle at the end of its block");
     }
   }
 
+  /** Idle paid room first, of the other parts too: what they can spare need not be rented. */
+  private void ask(Wanted wanted, List<Snapshot.Offer> offers, long now) {
+    double largest = catalog.all().stream().mapToDouble(MachineType::cores).max().orElse(1);
+    int count = (int) Math.ceil(wanted.shortCores() / largest);
+    double have = coresOfMachines();
+    asking = true;
+    lastAskMs = now;
+    lender.ask(
+        part,
+        count,
+        have + count * largest <= guaranteedCores() + largest,
+        given -> {
+          asking = false;
+          if (mayAct()) {
+            rent(wanted.rentals(), offers, given);
+          }
+        });
+  }
+
+  private void rent(List<Wanted.Rental> rentals, List<Snapshot.Offer> offers, int less) {
+    // Event rounds are many: while the cloud has not answered the last rental, none is added.
+    if (!fleet.pending().isEmpty()) {
+      return;
+    }
+    int spared = less;
+    for (Wanted.Rental r : rentals) {
+      Snapshot.Offer o = offers.get(r.offer());
+      int count = Math.max(0, r.count() - spared);
+      spared = Math.max(0, spared - r.count());
+      if (count > 0) {
+        fleet.rent(catalog.type(o.type()), o.zone(), o.spot(), count);
+      }
+    }
+  }
+
+  private double coresOfMachines() {
+    double all = 0;
+    for (Machine m : fleet.machines()) {
+      all += m.returning || m.promisedTo >= 0 ? 0 : m.type.cores();
+    }
+    return all;
+  }
+
+  private double guaranteedCores() {
+    double all = 0;
+    for (int i = 0; i < facts.teams().size(); i++) {
+      all += layout.partOf(i) == part ? facts.teams().get(i).cores() : 0;
+    }
+    return all;
+  }
+
+  /**
+   * Another part lacks machines: it gets idle ones, and, if it is within its teams' guarantees, the
+   * machines by which this part is above its own, as soon as they are empty.
+   */
+  public int lend(int to, int count, boolean guaranteed) {
+    if (!mayAct()) {
+      return 0;
+    }
+    int given = 0;
+    for (Machine m : List.copyOf(spare)) {
+      if (given < count && m.usable(loop.nowMs()) && m.tasks.isEmpty() && fleet.find(m.name) == m) {
+        spare.remove(m);
+        fleet.lend(m, to);
+        given++;
+      }
+    }
+    if (guaranteed && given < count) {
+      promise(to, count - given);
+    }
+    return given;
+  }
+
+  private void promise(int to, int count) {
+    double above = coresOfMachines() - guaranteedCores();
+    int left = count;
+    for (Machine m : fleet.machines()) {
+      left -= m.promisedTo == to ? 1 : 0;
+    }
+    List<Machine> busy = new ArrayList<>(fleet.machines());
+    busy.sort(java.util.Comparator.comparingDouble(this::lostByStopping));
+    for (Machine m : busy) {
+      if (left > 0 && above >= m.type.cores() && m.usable(loop.nowMs())) {
+        LOG.info("{} is promised to part {}", m.name, to);
+        m.promisedTo = to;
+        m.draining = true;
+        above -= m.type.cores();
+        left--;
+        for (Placement p : m.tasks.values()) {
+          // What can save is stopped; the others may finish first.
+          if (p.job.spec.checkpointS() > 0) {
+            p.stop(p.job.spec.saveS() + 1);
+          }
+        }
+      }
+    }
+  }
+
+  private double lostByStopping(Machine m) {
+    double all = 0;
+    long now = loop.nowMs();
+    for (Placement p : m.tasks.values()) {
+      all +=
+          p.job.spec.cores() * (p.job.spec.checkpointS() > 0 ? 1 : Math.max(1, now - p.placedMs));
+    }
+    return all;
+  }
+
   private List<Snapshot.Offer> offers() {
     List<Snapshot.Offer> all = new ArrayList<>();
     for (MachineType t : catalog.all()) {
@@ -609,7 +746,11 @@
   }
 
   private Snapshot snapshot(
-      long now, List<Job> works, List<Machine> machines, List<Snapshot.Offer> offers) {
+      long now,
+      List<Job> works,
+      List<Machine> machines,
+      List<Snapshot.Offer> offers,
+      List<List<Placement>> running) {
     double[] cores = new double[facts.teams().size()];
     double[] cards = new double[cores.length];
     for (Job j : jobs.values()) {
@@ -629,7 +770,13 @@
       roomOf.put(machines.get(i).name, i);
     }
     List<Snapshot.Room> rooms = new ArrayList<>();
-    machines.forEach(m -> rooms.add(room(m, now)));
+    for (Machine m : machines) {
+      List<Placement> on = new ArrayList<>(m.tasks.values());
+      // What is stopped without grace is gone before the next start on its machine.
+      on.removeIf(p -> p.stopGraceS == 0);
+      running.add(on);
+      rooms.add(room(m, on, now));
+    }
     for (Fleet.Pending p : fleet.pending()) {
       for (int i = 0; i < p.count(); i++) {
         rooms.add(pendingRoom(p, now));
@@ -639,23 +786,37 @@
     works.forEach(j -> views.add(work(j, now, roomOf)));
     int most = (int) Math.max(1, facts.cloudRps() * policy.periodMs() / 1000.0 / facts.nodes());
     return new Snapshot(
-        now, policy.periodMs(), policy.blockMs(), most, teams, views, rooms, offers);
-  }
-
-  private Snapshot.Room room(Machine m, long now) {
+        now,
+        policy.periodMs(),
+        policy.blockMs(),
+        (long) (2_000 * facts.reportS()),
+        most,
+        teams,
+        views,
+        rooms,
+        offers);
+  }
+
+  private Snapshot.Room room(Machine m, List<Placement> on, long now) {
     MachineType t = m.type;
     double c = t.cores();
     double g = t.cards();
     double r = t.ram();
-    List<Snapshot.Release> releases = new ArrayList<>();
-    for (Placement p : m.tasks.values()) {
+    List<Snapshot.Running> running = new ArrayList<>();
+    for (Placement p : on) {
       Snapshot.Size size = size(p.job);
       c -= size.cores();
       g -= size.cards();
       r -= size.ram();
-      releases.add(new Snapshot.Release(expectedEnd(p, t, now), size));
-    }
-    boolean up = m.usable(now) && fleet.recorded(m);
+      running.add(
+          new Snapshot.Running(
+              expectedEnd(p, t, now),
+              size,
+              p.job.team,
+              p.job.spec.urgency().ordinal(),
+              lostMs(p, now)));
+    }
+    boolean up = m.usable(now);
     long sinceS = (now - m.rentedMs) / 1000;
     long ready =
         m.seenMs >= 0
@@ -679,7 +840,17 @@
         m.spot ? t.spotPrice() : t.price(),
         t.fetchGbPerS(),
         m.images,
-        releases);
+        running);
+  }
+
+  /** What stopping it at once would lose; -1: it is being stopped, or its state is not known. */
+  private static long lostMs(Placement p, long now) {
+    if (p.stopping() || p.inherited && !p.seen) {
+      return -1;
+    }
+    long ran = p.runningMs < 0 ? 0 : now - p.runningMs;
+    long step = (long) (1000 * p.job.spec.checkpointS());
+    return step > 0 ? ran % step : ran;
   }
 
   private Snapshot.Room pendingRoom(Fleet.Pending p, long now) {
--- a/src/main/java/dev/windbend/plan/Planner.java
+++ b/src/main/java/dev/windbend/plan/Planner.java
@@ -1,10 +1,11 @@
 package dev.windbend.plan;
 
 import dev.windbend.plan.Snapshot.Offer;
-import dev.windbend.plan.Snapshot.Release;
 import dev.windbend.plan.Snapshot.Room;
+import dev.windbend.plan.Snapshot.Running;
 import dev.windbend.plan.Snapshot.Size;
 import dev.windbend.plan.Snapshot.Work;
+import it.unimi.dsi.fastutil.ints.IntOpenHashSet;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -20,14 +21,18 @@
   private final int[] rented;
   private final double[] usedCores;
   private final double[] usedCards;
+  private final double[] stoppedCores;
   private final List<Wanted.Place> places = new ArrayList<>();
+  private final List<Wanted.Stop> stops = new ArrayList<>();
   private int rentals;
+  private double shortCores;
 
   private Planner(Snapshot s) {
     this.s = s;
     this.rented = new int[s.offers().size()];
     this.usedCores = s.teams().stream().mapToDouble(Snapshot.Team::usedCores).toArray();
     this.usedCards = s.teams().stream().mapToDouble(Snapshot.Team::usedCards).toArray();
+    this.stoppedCores = new double[usedCores.length];
     for (int i = 0; i < s.rooms().size(); i++) {
       lines.add(new Line(s.rooms().get(i), i, s.nowMs()));
     }
@@ -56,17 +61,17 @@
         rentals.add(new Wanted.Rental(i, rented[i]));
       }
     }
+    List<Integer> spare = new ArrayList<>();
     List<Integer> back = new ArrayList<>();
     for (Line l : lines) {
-      if (l.room != null
-          && l.room.up()
-          && l.room.idle()
-          && !l.taken
-          && l.room.paidUntilMs() <= s.nowMs()) {
-        back.add(l.index);
+      if (l.room != null && l.room.up() && l.room.idle() && !l.taken) {
+        spare.add(l.index);
+        if (l.room.paidUntilMs() <= s.nowMs()) {
+          back.add(l.index);
+        }
       }
     }
-    return new Wanted(places, rentals, back);
+    return new Wanted(stops, places, rentals, spare, back, shortCores);
   }
 
   private void serve(int index, Work w) {
@@ -86,6 +91,16 @@
         places.add(new Wanted.Place(index, idle.index));
         continue;
       }
+      Line cleared = makeRoom(w, zones, together);
+      if (cleared != null) {
+        cleared.take(s.nowMs(), w.estimateMs() + fetchMs(w, cleared), w.size());
+        cleared.taken = true;
+        zones[cleared.zone]++;
+        together = w.together() ? cleared.zone : -1;
+        use(w);
+        places.add(new Wanted.Place(index, cleared.index));
+        continue;
+      }
       long boot = bootMs(w);
       long slack = w.dueMs() - s.nowMs() - w.estimateMs() - boot;
       if (slack > w.estimateMs() + s.periodMs()) {
@@ -96,8 +111,12 @@
         line = rent(w, zones, together);
       }
       if (line == null) {
+        shortCores += (w.waiting() - k) * w.size().cores();
         return;
       }
+      if (line.room == null || !line.room.up()) {
+        shortCores += w.size().cores();
+      }
       zones[line.zone]++;
       together = w.together() ? line.zone : -1;
       use(w);
@@ -199,6 +218,80 @@
     return boot;
   }
 
+  /**
+   * Stops what may be stopped for this work, where that loses least: work of lower priority, or
+   * what another team runs beyond its guarantee while this one is within its own. Not if room comes
+   * soon by itself, and not if more would be lost than gained.
+   */
+  private Line makeRoom(Work w, int[] zones, int together) {
+    Snapshot.Team team = s.teams().get(w.team());
+    boolean guaranteed =
+        usedCores[w.team()] + w.size().cores() <= team.guaranteedCores() + 1e-6
+            && usedCards[w.team()] + w.size().cards() <= team.guaranteedCards() + 1e-6;
+    Line best = null;
+    List<Integer> bestVictims = null;
+    double least = w.size().cores() * w.estimateMs();
+    for (Line l : lines) {
+      if (l.room == null || !l.room.up() || !allowed(w, l, zones, together)) {
+        continue;
+      }
+      if (l.firstFit(s.nowMs(), w.estimateMs(), w.size()) <= s.nowMs() + s.patienceMs()) {
+        return null;
+      }
+      List<Integer> victims = new ArrayList<>();
+      double lost = victims(w, l, guaranteed, victims);
+      lost += fetchMs(w, l) * w.size().cores();
+      if (lost < least) {
+        least = lost;
+        best = l;
+        bestVictims = victims;
+      }
+    }
+    if (best != null) {
+      for (int v : bestVictims) {
+        Running r = best.room.running().get(v);
+        best.stop(v, s.nowMs());
+        // It counts for its team's limit until it is proved gone, but is not taken twice.
+        stoppedCores[r.team()] += r.size().cores();
+        stops.add(new Wanted.Stop(best.index, v));
+      }
+    }
+    return best;
+  }
+
+  /** The cheapest few to stop, cheapest first; infinite if they do not free enough. */
+  private double victims(Work w, Line l, boolean guaranteed, List<Integer> victims) {
+    List<Integer> may = new ArrayList<>();
+    for (int i = 0; i < l.room.running().size(); i++) {
+      Running r = l.room.running().get(i);
+      boolean lower = r.rank() > w.rank();
+      Snapshot.Team t = s.teams().get(r.team());
+      boolean borrowed =
+          guaranteed
+              && r.team() != w.team()
+              && usedCores[r.team()] - stoppedCores[r.team()] - r.size().cores()
+                  >= t.guaranteedCores() - 1e-6;
+      if (r.lostMs() >= 0 && !l.stopped.contains(i) && (lower || borrowed)) {
+        may.add(i);
+      }
+    }
+    may.sort(
+        Comparator.comparingDouble(
+            i -> l.room.running().get(i).lostMs() * l.room.running().get(i).size().cores()));
+    Size free = l.least(s.nowMs(), w.estimateMs());
+    double lost = 0;
+    for (int i : may) {
+      if (free.holds(w.size())) {
+        break;
+      }
+      Running r = l.room.running().get(i);
+      free = free.plus(r.size());
+      lost += r.lostMs() * r.size().cores();
+      victims.add(i);
+    }
+    return free.holds(w.size()) ? lost : Double.POSITIVE_INFINITY;
+  }
+
   /** The machine free first, if in time for the deadline or before a new one could be up. */
   private Line soonFree(Work w, int[] zones, int together, long newOneMs) {
     Line best = null;
@@ -253,7 +346,8 @@
     final int zone;
     final boolean spot;
     final double fetchGbPerS;
-    final List<Release> steps = new ArrayList<>();
+    final List<Step> steps = new ArrayList<>();
+    final IntOpenHashSet stopped = new IntOpenHashSet();
     Size now;
     boolean taken;
 
@@ -266,12 +360,12 @@
       this.fetchGbPerS = room.fetchGbPerS();
       if (room.up()) {
         this.now = room.free();
-        for (Release r : room.releases()) {
-          steps.add(new Release(Math.max(r.atMs(), nowMs + 1), r.size()));
+        for (Running r : room.running()) {
+          steps.add(new Step(Math.max(r.endMs(), nowMs + 1), r.size()));
         }
       } else {
         this.now = new Size(0, 0, 0);
-        steps.add(new Release(Math.max(room.readyMs(), nowMs + 1), room.free()));
+        steps.add(new Step(Math.max(room.readyMs(), nowMs + 1), room.free()));
       }
     }
 
@@ -284,27 +378,34 @@
       this.fetchGbPerS = o.fetchGbPerS();
       this.now = new Size(0, 0, 0);
       this.taken = true;
-      steps.add(new Release(nowMs + o.bootMs(), o.size()));
+      steps.add(new Step(nowMs + o.bootMs(), o.size()));
     }
 
-    /** Free all through the given time. */
     boolean fits(long atMs, long runMs, Size need) {
-      if (!freeAt(atMs).holds(need)) {
-        return false;
-      }
-      for (Release r : steps) {
-        if (r.atMs() > atMs && r.atMs() < atMs + runMs && !freeAt(r.atMs()).holds(need)) {
-          return false;
+      return least(atMs, runMs).holds(need);
+    }
+
+    /** What is free all through the given time. */
+    Size least(long atMs, long runMs) {
+      Size least = freeAt(atMs);
+      for (Step r : steps) {
+        if (r.atMs() > atMs && r.atMs() < atMs + runMs && r.size().cores() < 0) {
+          Size f = freeAt(r.atMs());
+          least =
+              new Size(
+                  Math.min(least.cores(), f.cores()),
+                  Math.min(least.cards(), f.cards()),
+                  Math.min(least.ram(), f.ram()));
         }
       }
-      return true;
+      return least;
     }
 
     private Size freeAt(long atMs) {
       double c = now.cores();
       double g = now.cards();
       double m = now.ram();
-      for (Release r : steps) {
+      for (Step r : steps) {
         if (r.atMs() <= atMs) {
           c += r.size().cores();
           g += r.size().cards();
@@ -316,8 +417,11 @@
 
     long firstFit(long fromMs, long runMs, Size need) {
       long best = Long.MAX_VALUE;
-      for (Release r : steps) {
-        if (r.atMs() >= fromMs && r.atMs() < best && fits(r.atMs(), runMs, need)) {
+      for (Step r : steps) {
+        if (r.atMs() >= fromMs
+            && r.atMs() < best
+            && r.size().cores() > 0
+            && fits(r.atMs(), runMs, need)) {
           best = r.atMs();
         }
       }
@@ -325,9 +429,19 @@
     }
 
     void take(long atMs, long runMs, Size need) {
-      Size negative = new Size(-need.cores(), -need.cards(), -need.ram());
-      steps.add(new Release(atMs, negative));
-      steps.add(new Release(atMs + Math.max(1, runMs), need));
+      steps.add(new Step(atMs, new Size(-need.cores(), -need.cards(), -need.ram())));
+      steps.add(new Step(atMs + Math.max(1, runMs), need));
+    }
+
+    /** The task goes now instead of later. */
+    void stop(int i, long nowMs) {
+      Running r = room.running().get(i);
+      stopped.add(i);
+      steps.remove(new Step(Math.max(r.endMs(), nowMs + 1), r.size()));
+      now = now.plus(r.size());
     }
   }
+
+  /** A change of what is free. */
+  private record Step(long atMs, Size size) {}
 }
--- a/src/main/java/dev/windbend/plan/Snapshot.java
+++ b/src/main/java/dev/windbend/plan/Snapshot.java
@@ -8,6 +8,7 @@
     long nowMs,
     long periodMs,
     long blockMs,
+    long patienceMs,
     int mostRentals,
     List<Team> teams,
     List<Work> works,
@@ -16,6 +17,10 @@
 
   /** Cores, cards and memory. */
   public record Size(double cores, double cards, double ram) {
+    public Size plus(Size o) {
+      return new Size(cores + o.cores, cards + o.cards, ram + o.ram);
+    }
+
     public Size minus(Size o) {
       return new Size(cores - o.cores, cards - o.cards, ram - o.ram);
     }
@@ -68,10 +73,13 @@
       double pricePerH,
       double fetchGbPerS,
       IntOpenHashSet images,
-      List<Release> releases) {}
+      List<Running> running) {}
 
-  /** Room expected to become free. */
-  public record Release(long atMs, Size size) {}
+  /**
+   * A task on a machine: when it should end, and what stopping it now would lose. {@code lostMs}
+   * -1: it is being stopped already.
+   */
+  public record Running(long endMs, Size size, int team, int rank, long lostMs) {}
 
   /** A kind of machine to rent now. */
   public record Offer(
