--- a/src/main/java/dev/windbend/daemon/Node.java
+++ b/src/main/java/dev/windbend/daemon/Node.java
@@ -39,9 +39,12 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** One controller: its slices wired together, and the door to each. Runs on one loop. */
 public final class Node implements Claims.Listener {
+  private static final Logger LOG = LoggerFactory.getLogger(Node.class);
   private static final String EVERYTHING = "w/";
   private static final int FORMER_KEPT = 2_000;
   private static final long STALE_MS = 3_000;
@@ -317,6 +320,7 @@
         return;
       }
     }
+    LOG.debug("{} of part {} is not ours", r.machine(), part);
     // Strays are the first part's to take in.
     int home = Math.max(part, 0);
     Owner mine = owners.get(home);
--- a/src/main/java/dev/windbend/part/Owner.java
+++ b/src/main/java/dev/windbend/part/Owner.java
@@ -49,6 +49,7 @@
   private static final long GAP_MS = 150;
   private static final long COMMIT_WAIT_MS = 400;
   private static final long RECALL_SLACK_MS = 1_000;
+  private static final double MISSED_REPORTS = 2.5;
   private static final int BAD_JOBS = 2;
   private static final int BAD_MACHINES = 3;
   private static final long BACK_OFF_MS = 5_000;
@@ -83,6 +84,7 @@
   private boolean roundDue;
   private long lastRoundMs;
   private long lastCheckMs;
+  private long lastTellMs;
   private long sureSinceMs = -1;
 
   /** Asks the other parts' owners for machines; hands how many are coming. */
@@ -496,6 +498,10 @@
         round(now);
       }
       committer.run();
+      if (now - lastTellMs >= policy.periodMs()) {
+        lastTellMs = now;
+        tell(now);
+      }
       if (now - lastCheckMs >= 2_000 * facts.listLagS()) {
         lastCheckMs = now;
         checkList();
@@ -506,6 +512,33 @@
     loop.after(TICK_MS, this::tick);
   }
 
+  /** One line a period, for operators. */
+  private void tell(long now) {
+    double waiting = 0;
+    double placed = 0;
+    for (Job j : jobs.values()) {
+      waiting += j.waitingCount() * j.spec.cores();
+      placed += j.placements().size() * j.spec.cores();
+    }
+    int up = 0;
+    int booting = 0;
+    int unsure = 0;
+    for (Machine m : fleet.machines()) {
+      up += m.usable(now) ? 1 : 0;
+      booting += m.seenMs < 0 ? 1 : 0;
+      unsure += m.seenMs >= 0 && !m.usable(now) ? 1 : 0;
+    }
+    LOG.info(
+        "part {}: {} jobs, cores waiting {} placed {}; machines up {} booting {} other {}",
+        part,
+        jobs.size(),
+        Math.round(waiting),
+        Math.round(placed),
+        up,
+        booting,
+        unsure);
+  }
+
   private void checkList() {
     fleet.check(
         (long) (8_000 * facts.listLagS()),
@@ -517,7 +550,8 @@
   private void watch(long now) {
     long silentMs = (long) (1000 * Math.max(4 * facts.reportS(), facts.leaseS() * 0.6));
     List<Machine> silent = new ArrayList<>();
-    int heard = 0;
+    int[] heard = new int[catalog.zones.size()];
+    int[] missed = new int[heard.length];
     for (Machine m : List.copyOf(fleet.machines())) {
       if (m.returning) {
         continue;
@@ -533,10 +567,14 @@
         }
         continue;
       }
-      if (now - Math.max(m.seenMs, sureSinceMs) > silentMs) {
+      long quiet = now - Math.max(m.seenMs, sureSinceMs);
+      if (quiet > silentMs) {
         silent.add(m);
+      }
+      if (quiet > MISSED_REPORTS * 1000 * facts.reportS()) {
+        missed[m.zone]++;
       } else {
-        heard++;
+        heard[m.zone]++;
       }
       boolean empty = m.draining && m.tasks.isEmpty();
       if (m.recallMs >= 0 && now > m.recallMs + RECALL_SLACK_MS || empty && m.promisedTo < 0) {
@@ -545,10 +583,11 @@
         fleet.lend(m, m.promisedTo);
       }
     }
-    // Many at once look like a cut: their tasks go on behind it, so they get their whole lease.
-    boolean cut = silent.size() > 2 && silent.size() > heard / 4;
     for (Machine m : silent) {
-      long patience = cut ? (long) (1000 * facts.leaseS()) + silentMs : silentMs;
+      // Most of a zone at once looks like a cut: the tasks go on behind it, so they get their
+      // whole lease.
+      boolean cut = missed[m.zone] > 1 && missed[m.zone] > heard[m.zone];
+      long patience = cut ? (long) (1000 * (facts.leaseS() + 2 * facts.reportS())) : silentMs;
       if (now - Math.max(m.seenMs, sureSinceMs) > patience) {
         fleet.giveBack(m, "silent");
       }
@@ -618,13 +657,17 @@
   private void ask(Wanted wanted, List<Snapshot.Offer> offers, long now) {
     double largest = catalog.all().stream().mapToDouble(MachineType::cores).max().orElse(1);
     int count = (int) Math.ceil(wanted.shortCores() / largest);
-    double have = coresOfMachines();
+    double below = guaranteedCores() - coresOfMachines();
+    boolean guaranteed = below > 0;
+    if (guaranteed) {
+      count = Math.min(count, (int) Math.ceil(below / largest));
+    }
     asking = true;
     lastAskMs = now;
     lender.ask(
         part,
         count,
-        have + count * largest <= guaranteedCores() + largest,
+        guaranteed,
         given -> {
           asking = false;
           if (mayAct()) {
@@ -681,14 +724,22 @@
         given++;
       }
     }
-    if (guaranteed && given < count) {
-      promise(to, count - given);
+    if (given < count) {
+      promise(to, count - given, guaranteed);
     }
     return given;
   }
 
-  private void promise(int to, int count) {
-    double above = coresOfMachines() - guaranteedCores();
+  /** What is more than this part needs now or, to one below its guarantee, above our own. */
+  private void promise(int to, int count, boolean guaranteed) {
+    double needed = 0;
+    for (Job j : jobs.values()) {
+      needed += (j.placements().size() + j.waitingCount()) * j.spec.cores();
+    }
+    double unneeded = coresOfMachines() - needed;
+    double above = guaranteed ? coresOfMachines() - guaranteedCores() : 0;
+    above = Math.max(above, unneeded);
+    boolean hurry = guaranteed && above > unneeded;
     int left = count;
     for (Machine m : fleet.machines()) {
       left -= m.promisedTo == to ? 1 : 0;
@@ -704,7 +755,7 @@
         left--;
         for (Placement p : m.tasks.values()) {
           // What can save is stopped; the others may finish first.
-          if (p.job.spec.checkpointS() > 0) {
+          if (hurry && p.job.spec.checkpointS() > 0) {
             p.stop(p.job.spec.saveS() + 1);
           }
         }
