--- a/src/main/java/dev/windbend/part/Owner.java
+++ b/src/main/java/dev/windbend/part/Owner.java
@@ -724,22 +724,15 @@
         given++;
       }
     }
-    if (given < count) {
-      promise(to, count - given, guaranteed);
+    if (guaranteed && given < count) {
+      promise(to, count - given);
     }
     return given;
   }
 
-  /** What is more than this part needs now or, to one below its guarantee, above our own. */
-  private void promise(int to, int count, boolean guaranteed) {
-    double needed = 0;
-    for (Job j : jobs.values()) {
-      needed += (j.placements().size() + j.waitingCount()) * j.spec.cores();
-    }
-    double unneeded = coresOfMachines() - needed;
-    double above = guaranteed ? coresOfMachines() - guaranteedCores() : 0;
-    above = Math.max(above, unneeded);
-    boolean hurry = guaranteed && above > unneeded;
+  /** To a part below its guarantee: what this part has above its own. */
+  private void promise(int to, int count) {
+    double above = coresOfMachines() - guaranteedCores();
     int left = count;
     for (Machine m : fleet.machines()) {
       left -= m.promisedTo == to ? 1 : 0;
@@ -755,7 +748,7 @@
         left--;
         for (Placement p : m.tasks.values()) {
           // What can save is stopped; the others may finish first.
-          if (hurry && p.job.spec.checkpointS() > 0) {
+          if (p.job.spec.checkpointS() > 0) {
             p.stop(p.job.spec.saveS() + 1);
           }
         }
