--- a/src/main/java/dev/windbend/part/Owner.java
+++ b/src/main/java/dev/windbend/part/Owner.java
@@ -316,6 +316,10 @@
           mayAct() || !othersServed.getAsBoolean() ? answer(m, List.of()) : Web.Answer.bare(503));
       return;
     }
+    if (m.draining) {
+      // What has not started there never will: without this it would stay placed for ever.
+      m.tasks.values().stream().filter(p -> !p.seen && !p.inherited).forEach(p -> p.stop(0));
+    }
     boolean free = m.tasks.isEmpty();
     int before = m.tasks.size();
     desk.absorb(m, r, now);
