--- a/src/main/java/dev/windbend/daemon/Node.java
+++ b/src/main/java/dev/windbend/daemon/Node.java
@@ -30,7 +30,6 @@
 import io.micrometer.core.instrument.Meter;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
-import it.unimi.dsi.fastutil.objects.Object2DoubleOpenHashMap;
 import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -39,6 +38,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.stream.DoubleStream;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -124,10 +124,13 @@
 
   private static Facts facts(Settings settings, int size) {
     Settings.Facts f = settings.facts();
-    Object2DoubleOpenHashMap<String> within = new Object2DoubleOpenHashMap<>();
+    Map<String, double[]> dueTimes = new HashMap<>();
+    Map<String, double[]> within = new HashMap<>();
     for (Settings.Objective o : settings.objectives()) {
-      if ("finished".equals(o.kind()) && o.jobKind() != null && o.withinS() != null) {
-        within.mergeDouble(o.jobKind(), o.withinS(), Math::min);
+      if (o.jobKind() != null && "finished".equals(o.kind()) && o.withinS() != null) {
+        within.merge(o.jobKind(), new double[] {o.withinS()}, Node::sorted);
+      } else if (o.jobKind() != null && "deadline".equals(o.kind()) && o.times() != null) {
+        dueTimes.merge(o.jobKind(), new double[] {o.times()}, Node::sorted);
       }
     }
     return new Facts(
@@ -143,7 +146,11 @@
         f.workers().cancelS(),
         Math.max(1, f.cloud().listLagS()),
         f.cloud().rps(),
-        within);
+        new Facts.Aims(dueTimes, within));
+  }
+
+  private static double[] sorted(double[] a, double[] b) {
+    return DoubleStream.concat(DoubleStream.of(a), DoubleStream.of(b)).sorted().toArray();
   }
 
   public void start() {
--- a/src/main/java/dev/windbend/daemon/Settings.java
+++ b/src/main/java/dev/windbend/daemon/Settings.java
@@ -44,7 +44,8 @@
   public record Objective(
       @JsonProperty("kind") String kind,
       @JsonProperty("class") String jobKind,
-      @JsonProperty("within_s") Double withinS) {}
+      @JsonProperty("within_s") Double withinS,
+      @JsonProperty("times") Double times) {}
 
   public record Workers(
       @JsonProperty("report_s") double reportS,
--- a/src/main/java/dev/windbend/part/Facts.java
+++ b/src/main/java/dev/windbend/part/Facts.java
@@ -1,7 +1,7 @@
 package dev.windbend.part;
 
-import it.unimi.dsi.fastutil.objects.Object2DoubleOpenHashMap;
 import java.util.List;
+import java.util.Map;
 
 /** What the settings file says about teams, workers and the cloud, for owners. */
 public record Facts(
@@ -12,8 +12,23 @@
     double cancelS,
     double listLagS,
     double cloudRps,
-    Object2DoubleOpenHashMap<String> finishWithinS) {
+    Aims aims) {
 
   public record TeamFact(
       String name, double cores, double coresMost, double cards, double cardsMost) {}
+
+  /** What is asked of classes of jobs: times of the deadline, and seconds to finish within. */
+  public record Aims(Map<String, double[]> dueTimes, Map<String, double[]> withinS) {
+    private static final double[] ONCE = {1};
+
+    /** Time limits from submission, ascending. */
+    double[] limits(String kind, Double dueS, double impliedS, boolean fromAims) {
+      if (dueS != null) {
+        double[] times = fromAims ? dueTimes.getOrDefault(kind, ONCE) : ONCE;
+        return java.util.Arrays.stream(times).map(t -> t * dueS).toArray();
+      }
+      double[] within = fromAims ? withinS.get(kind) : null;
+      return within == null ? new double[] {impliedS} : within;
+    }
+  }
 }
--- a/src/main/java/dev/windbend/part/Owner.java
+++ b/src/main/java/dev/windbend/part/Owner.java
@@ -14,6 +14,7 @@
 import dev.windbend.machine.Machine;
 import dev.windbend.machine.MachineRecord;
 import dev.windbend.machine.MachineType;
+import dev.windbend.plan.Deadlines;
 import dev.windbend.plan.Estimates;
 import dev.windbend.plan.Planner;
 import dev.windbend.plan.Snapshot;
@@ -960,12 +961,17 @@
         avoid.add(roomOf.getInt(m));
       }
     }
-    double own = j.spec.estimateS();
-    double dueS = j.spec.dueS() != null ? j.spec.dueS() : policy.impliedDue() * own;
-    if (j.spec.dueS() == null && policy.dueFromAims()) {
-      dueS = Math.min(dueS, facts.finishWithinS().getOrDefault(j.spec.kind(), dueS));
-    }
+    double[] limits =
+        facts
+            .aims()
+            .limits(
+                j.spec.kind(),
+                j.spec.dueS(),
+                policy.impliedDue() * j.spec.estimateS(),
+                policy.dueFromAims());
     long age = loop.wallMs() - j.submittedWallMs;
+    double estimateS = estimateS(j);
+    Deadlines due = Deadlines.next(limits, age / 1000.0, estimateS);
     return new Snapshot.Work(
         j.team,
         j.spec.urgency().ordinal(),
@@ -980,8 +986,9 @@
         j.spec.tasks(),
         j.waitingCount(),
         perZone,
-        (long) (1000 * estimateS(j)),
-        now - age + (long) (1000 * dueS),
+        (long) (1000 * estimateS),
+        now - age + (long) (1000 * due.dueS()),
+        due.hopeless(),
         j.notBeforeMs,
         avoid);
   }
--- a/src/main/java/dev/windbend/plan/Snapshot.java
+++ b/src/main/java/dev/windbend/plan/Snapshot.java
@@ -57,6 +57,7 @@
       int[] placedPerZone,
       long estimateMs,
       long dueMs,
+      boolean hopeless,
       long notBeforeMs,
       IntOpenHashSet avoidRooms) {}
 
