--- a/src/main/java/dev/windbend/plan/Planner.java
+++ b/src/main/java/dev/windbend/plan/Planner.java
@@ -52,7 +52,7 @@
     order.sort(
         Comparator.<Integer>comparingInt(i -> s.works().get(i).rank())
             .thenComparing(i -> s.works().get(i).hopeless())
-            .thenComparingLong(i -> s.works().get(i).dueMs()));
+            .thenComparingDouble(i -> left(s.works().get(i))));
     for (int i : order) {
       serve(i, s.works().get(i));
     }
@@ -75,6 +75,10 @@
     return new Wanted(stops, places, rentals, spare, back, shortCores);
   }
 
+  private static double left(Work w) {
+    return w.waiting() * w.size().cores() * w.estimateMs();
+  }
+
   private void serve(int index, Work w) {
     int[] zones = w.placedPerZone().clone();
     int together = w.together() ? firstUsed(zones) : -1;
