--- a/src/main/java/dev/windbend/plan/Planner.java
+++ b/src/main/java/dev/windbend/plan/Planner.java
@@ -96,7 +96,7 @@
         places.add(new Wanted.Place(index, idle.index));
         continue;
       }
-      Line cleared = null;
+      Line cleared = makeRoom(w, zones, together);
       if (cleared != null) {
         cleared.take(s.nowMs(), w.estimateMs() + fetchMs(w, cleared), w.size());
         cleared.taken = true;
@@ -265,11 +265,13 @@
   }
 
   /** The cheapest few to stop, cheapest first; infinite if they do not free enough. */
-  private double victims(Work w, Line l, boolean guaranteed, List<Integer> victims) {
+  private double victims(Work w, Line l, boolean g, List<Integer> victims) {
+    boolean guaranteed = g;
     List<Integer> may = new ArrayList<>();
     for (int i = 0; i < l.room.running().size(); i++) {
       Running r = l.room.running().get(i);
       boolean lower = r.rank() > w.rank();
+      guaranteed = false;
       Snapshot.Team t = s.teams().get(r.team());
       boolean borrowed =
           guaranteed
