--- a/src/main/java/dev/windbend/plan/Planner.java
+++ b/src/main/java/dev/windbend/plan/Planner.java
@@ -265,11 +265,13 @@
   }
 
   /** The cheapest few to stop, cheapest first; infinite if they do not free enough. */
-  private double victims(Work w, Line l, boolean guaranteed, List<Integer> victims) {
+  private double victims(Work w, Line l, boolean g, List<Integer> victims) {
+    boolean guaranteed = g;
     List<Integer> may = new ArrayList<>();
     for (int i = 0; i < l.room.running().size(); i++) {
       Running r = l.room.running().get(i);
       boolean lower = r.rank() > w.rank();
+      guaranteed = false;
       Snapshot.Team t = s.teams().get(r.team());
       boolean borrowed =
           guaranteed
