--- a/src/main/java/dev/windbend/plan/Planner.java
+++ b/src/main/java/dev/windbend/plan/Planner.java
@@ -96,7 +96,7 @@
         places.add(new Wanted.Place(index, idle.index));
         continue;
       }
-      Line cleared = makeRoom(w, zones, together);
+      Line cleared = null;
       if (cleared != null) {
         cleared.take(s.nowMs(), w.estimateMs() + fetchMs(w, cleared), w.size());
         cleared.taken = true;
