--- a/src/main/java/dev/windbend/plan/Planner.java
+++ b/src/main/java/dev/windbend/plan/Planner.java
@@ -52,7 +52,7 @@
     order.sort(
         Comparator.<Integer>comparingInt(i -> s.works().get(i).rank())
             .thenComparing(i -> s.works().get(i).hopeless())
-            .thenComparingDouble(i -> left(s.works().get(i))));
+            .thenComparingLong(i -> s.works().get(i).dueMs()));
     for (int i : order) {
       serve(i, s.works().get(i));
     }
