--- a/src/main/java/dev/windbend/part/Layout.java
+++ b/src/main/java/dev/windbend/part/Layout.java
@@ -12,7 +12,7 @@
   public Layout(List<String> teamNames, List<String> nodeNames) {
     teamNames.forEach(teams::index);
     this.nodes = nodeNames.stream().sorted().toList();
-    this.parts = 1;
+    this.parts = Math.max(1, Math.min(nodes.size(), teams.size()));
   }
 
   public int parts() {
