--- a/src/main/java/dev/windbend/plan/Planner.java
+++ b/src/main/java/dev/windbend/plan/Planner.java
@@ -21,7 +21,6 @@
   private final int[] rented;
   private final double[] usedCores;
   private final double[] usedCards;
-  private final double[] stoppedCores;
   private final List<Wanted.Place> places = new ArrayList<>();
   private final List<Wanted.Stop> stops = new ArrayList<>();
   private int rentals;
@@ -32,7 +31,6 @@
     this.rented = new int[s.offers().size()];
     this.usedCores = s.teams().stream().mapToDouble(Snapshot.Team::usedCores).toArray();
     this.usedCards = s.teams().stream().mapToDouble(Snapshot.Team::usedCards).toArray();
-    this.stoppedCores = new double[usedCores.length];
     for (int i = 0; i < s.rooms().size(); i++) {
       lines.add(new Line(s.rooms().get(i), i, s.nowMs()));
     }
@@ -52,7 +50,7 @@
     order.sort(
         Comparator.<Integer>comparingInt(i -> s.works().get(i).rank())
             .thenComparing(i -> s.works().get(i).hopeless())
-            .thenComparingLong(i -> s.works().get(i).dueMs()));
+            .thenComparingDouble(i -> left(s.works().get(i))));
     for (int i : order) {
       serve(i, s.works().get(i));
     }
@@ -96,7 +94,7 @@
         places.add(new Wanted.Place(index, idle.index));
         continue;
       }
-      Line cleared = null;
+      Line cleared = makeRoom(w, zones, together);
       if (cleared != null) {
         cleared.take(s.nowMs(), w.estimateMs() + fetchMs(w, cleared), w.size());
         cleared.taken = true;
@@ -224,15 +222,10 @@
   }
 
   /**
-   * Stops what may be stopped for this work, where that loses least: work of lower priority, or
-   * what another team runs beyond its guarantee while this one is within its own. Not if room comes
-   * soon by itself, and not if more would be lost than gained.
+   * Stops work of lower priority for this work, where that loses least. Not if room comes soon by
+   * itself, and not if more would be lost than gained.
    */
   private Line makeRoom(Work w, int[] zones, int together) {
-    Snapshot.Team team = s.teams().get(w.team());
-    boolean guaranteed =
-        usedCores[w.team()] + w.size().cores() <= team.guaranteedCores() + 1e-6
-            && usedCards[w.team()] + w.size().cards() <= team.guaranteedCards() + 1e-6;
     Line best = null;
     List<Integer> bestVictims = null;
     double least = w.size().cores() * w.estimateMs();
@@ -244,8 +237,7 @@
         return null;
       }
       List<Integer> victims = new ArrayList<>();
-      double lost = victims(w, l, guaranteed, victims);
-      lost += fetchMs(w, l) * w.size().cores();
+      double lost = victims(w, l, victims) + fetchMs(w, l) * w.size().cores();
       if (lost < least) {
         least = lost;
         best = l;
@@ -254,44 +246,33 @@
     }
     if (best != null) {
       for (int v : bestVictims) {
-        Running r = best.room.running().get(v);
+        // It counts for its team's limit until it is proved gone.
         best.stop(v, s.nowMs());
-        // It counts for its team's limit until it is proved gone, but is not taken twice.
-        stoppedCores[r.team()] += r.size().cores();
         stops.add(new Wanted.Stop(best.index, v));
       }
     }
     return best;
   }
 
-  /** The cheapest few to stop, cheapest first; infinite if they do not free enough. */
-  private double victims(Work w, Line l, boolean g, List<Integer> victims) {
-    boolean guaranteed = g;
+  /** Picks the cheapest few to stop; says what that loses, infinite if it frees too little. */
+  private double victims(Work w, Line l, List<Integer> victims) {
+    List<Running> running = l.room.running();
     List<Integer> may = new ArrayList<>();
-    for (int i = 0; i < l.room.running().size(); i++) {
-      Running r = l.room.running().get(i);
-      boolean lower = r.rank() > w.rank();
-      guaranteed = false;
-      Snapshot.Team t = s.teams().get(r.team());
-      boolean borrowed =
-          guaranteed
-              && r.team() != w.team()
-              && usedCores[r.team()] - stoppedCores[r.team()] - r.size().cores()
-                  >= t.guaranteedCores() - 1e-6;
-      if (r.lostMs() >= 0 && !l.stopped.contains(i) && (lower || borrowed)) {
+    for (int i = 0; i < running.size(); i++) {
+      Running r = running.get(i);
+      if (r.lostMs() >= 0 && r.rank() > w.rank() && !l.stopped.contains(i)) {
         may.add(i);
       }
     }
     may.sort(
-        Comparator.comparingDouble(
-            i -> l.room.running().get(i).lostMs() * l.room.running().get(i).size().cores()));
+        Comparator.comparingDouble(i -> running.get(i).lostMs() * running.get(i).size().cores()));
     Size free = l.least(s.nowMs(), w.estimateMs());
     double lost = 0;
     for (int i : may) {
       if (free.holds(w.size())) {
         break;
       }
-      Running r = l.room.running().get(i);
+      Running r = running.get(i);
       free = free.plus(r.size());
       lost += r.lostMs() * r.size().cores();
       victims.add(i);
