--- a/src/main/java/dev/windbend/job/Job.java
+++ b/src/main/java/dev/windbend/job/Job.java
@@ -200,7 +200,11 @@
   public void changed(JobRecord.Live record, long version) {
     if (version > this.version) {
       this.version = version;
-      this.cancelled |= record.cancelled();
+      if (record.cancelled() && !cancelled) {
+        // Here, whoever brings the news: a write of ours that fails on it may be the first.
+        cancelled = true;
+        placed.values().forEach(p -> p.stop(0));
+      }
     }
   }
 
@@ -260,7 +264,7 @@
 
     @Override
     public boolean dirty() {
-      return inFlight < 0 && changes > written && !over();
+      return inFlight < 0 && changes > written && !over() && !archived;
     }
 
     @Override
--- a/src/main/java/dev/windbend/machine/Machine.java
+++ b/src/main/java/dev/windbend/machine/Machine.java
@@ -118,7 +118,8 @@
     wantedPart = to;
   }
 
-  boolean moved() {
+  /** Another part's by now: its owner has the same token as we would use, so we must be silent. */
+  public boolean moved() {
     return recordedPart >= 0 && recordedPart != part;
   }
 
--- a/src/main/java/dev/windbend/part/Owner.java
+++ b/src/main/java/dev/windbend/part/Owner.java
@@ -222,7 +222,7 @@
       }
     }
     if (job.cancelled) {
-      stopAll(job);
+      job.placements().forEach(p -> p.stop(0));
     }
     touched(job);
     return job;
@@ -241,6 +241,9 @@
       return;
     }
     if (now == null) {
+      // Ended, and it never comes back. Old news of it may have come after we had written its end
+      // and forgotten it: without this it would stay, with a write that fails for ever.
+      forget(job);
       return;
     }
     JobRecord.Live r = Json.read(now.value(), JobRecord.Live.class);
@@ -249,13 +252,22 @@
       job.changed(r, now.version());
       if (job.cancelled && !before) {
         LOG.info("{} is cancelled", uid);
-        stopAll(job);
         touched(job);
         wantRound();
       }
     }
   }
 
+  private void forget(Job job) {
+    jobs.remove(job.spec.uid());
+    for (Placement p : job.placements()) {
+      Machine m = fleet.find(p.machine);
+      if (m != null) {
+        m.remove(p, loop.nowMs());
+      }
+    }
+  }
+
   /** A machine's record has changed: it may be ours now. */
   public void machineChanged(String name, Stored now) {
     MachineRecord r = now == null ? null : Json.read(now.value(), MachineRecord.class);
@@ -264,10 +276,6 @@
     }
   }
 
-  private void stopAll(Job job) {
-    job.placements().forEach(p -> p.stop(0));
-  }
-
   // ---- workers
 
   public boolean has(String machine) {
@@ -290,7 +298,7 @@
   public void report(WorkerMessages.Report r, Consumer<Web.Answer> done) {
     Machine m = fleet.find(r.machine());
     long fence = m == null ? 0 : m.token(token);
-    if (m == null || r.token() > fence) {
+    if (m == null || m.moved() || r.token() > fence) {
       done.accept(Web.Answer.bare(503));
       return;
     }
@@ -382,7 +390,7 @@
   }
 
   private void afterWrite() {
-    jobs.values().removeIf(Job::archived);
+    List.copyOf(jobs.values()).stream().filter(Job::archived).forEach(this::forget);
     fleet.afterWrite();
     answerWaiting();
   }
--- a/src/main/java/dev/windbend/store/Committer.java
+++ b/src/main/java/dev/windbend/store/Committer.java
@@ -122,6 +122,7 @@
       lost.run();
       return;
     }
+    LOG.debug("write conflicts: {}", outcome.failed());
     reread(batch, outcome.failed());
   }
 
@@ -142,8 +143,9 @@
             }
             sure[0] &= got.sure();
             open.remove(key);
-            if (open.isEmpty()) {
+            if (open.isEmpty() && !closed) {
               busy = false;
+              after.run();
               again(sure[0] ? 0 : AGAIN_MS);
             }
           });
--- /dev/null
+++ b/src/test/java/dev/windbend/daemon/RulesTest.java
@@ -0,0 +1,197 @@
+package dev.windbend.daemon;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Whole days in virtual time under each kind of trouble: no rule breaks, and all work ends. */
+class RulesTest {
+  private static final long DAY_MS = 600_000;
+
+  private static Arguments day(String name, Consumer<World> troubles) {
+    return Arguments.of(name, troubles);
+  }
+
+  private static void each(World w, long fromMs, long everyMs, int times, Runnable what) {
+    for (int i = 0; i < times; i++) {
+      w.time.at(fromMs + i * everyMs, what);
+    }
+  }
+
+  private static StandInWorker any(World w) {
+    List<StandInWorker> all = List.copyOf(w.machines.values());
+    return all.isEmpty() ? null : all.get(w.random.nextInt(all.size()));
+  }
+
+  private static void hang(World w, long forMs) {
+    StandInWorker m = any(w);
+    if (m != null) {
+      m.hung = true;
+      w.time.at(forMs, () -> m.hung = false);
+    }
+  }
+
+  private static void outage(World w, long forMs) {
+    w.store.outage = true;
+    w.time.at(forMs, w.store::recover);
+  }
+
+  private static void crash(World w, long backMs, int... nodes) {
+    for (int i : nodes) {
+      w.kill(i, backMs);
+    }
+  }
+
+  static Stream<Arguments> days() {
+    return Stream.of(
+        day("quiet", w -> {}),
+        day("one node crashes", w -> w.time.at(20_000, () -> crash(w, 4_000, 1))),
+        day("all crash at once", w -> w.time.at(30_000, () -> crash(w, 3_000, 0, 1, 2))),
+        day(
+            "all are restarted in turn",
+            w -> {
+              for (int i = 0; i < 3; i++) {
+                int n = i;
+                w.time.at(20_000 + 15_000 * i, () -> crash(w, 2_500, n));
+              }
+            }),
+        day(
+            "a node comes back within a fraction of a second, again and again",
+            w -> each(w, 15_000, 9_000, 8, () -> crash(w, 300, w.random.nextInt(3)))),
+        day(
+            "a node is away for longer than its hold",
+            w -> each(w, 15_000, 30_000, 3, () -> crash(w, 20_000, w.random.nextInt(3)))),
+        day("the state service is down", w -> w.time.at(25_000, () -> outage(w, 25_000))),
+        day(
+            "a takeover in the middle of an outage",
+            w -> {
+              w.time.at(25_000, () -> outage(w, 20_000));
+              w.time.at(30_000, () -> crash(w, 3_000, 0, 1));
+            }),
+        day(
+            "one node alone is not served",
+            w -> {
+              w.time.at(20_000, () -> w.store.deaf = "n1");
+              w.time.at(60_000, () -> w.store.deaf = "");
+            }),
+        day(
+            "machines hang up to their lease and beyond",
+            w -> {
+              each(w, 15_000, 11_000, 8, () -> hang(w, 13_500));
+              each(w, 19_000, 13_000, 6, () -> hang(w, 40_000));
+            }),
+        day(
+            "machines are taken without notice",
+            w ->
+                each(
+                    w,
+                    15_000,
+                    4_000,
+                    20,
+                    () -> {
+                      StandInWorker m = any(w);
+                      if (m != null) {
+                        w.take(m);
+                      }
+                    })),
+        day(
+            "machines are taken with notice",
+            w ->
+                each(
+                    w,
+                    15_000,
+                    6_000,
+                    12,
+                    () -> {
+                      StandInWorker m = any(w);
+                      if (m != null) {
+                        m.recallS = 10.0;
+                        w.time.at(10_000, () -> w.take(m));
+                      }
+                    })),
+        day(
+            "machines fail every task",
+            w ->
+                each(
+                    w,
+                    15_000,
+                    20_000,
+                    3,
+                    () -> {
+                      StandInWorker m = any(w);
+                      if (m != null) {
+                        m.sick = true;
+                      }
+                    })),
+        day(
+            "machines come up that nobody asked for",
+            w -> {
+              w.boot("a", false);
+              each(w, 20_000, 20_000, 3, () -> w.boot("b", true));
+            }),
+        day(
+            "two nodes can't talk, and machines can't reach one",
+            w -> {
+              w.time.at(
+                  20_000,
+                  () -> {
+                    w.cut.addAll(List.of("n0>n1", "n1>n0"));
+                    w.machines.keySet().forEach(m -> w.cut.add(m + ">n1"));
+                  });
+              w.time.at(50_000, w.cut::clear);
+            }),
+        day(
+            "messages are lost and come late",
+            w -> {
+              w.loss = 0.03;
+              w.late = 0.03;
+            }),
+        day(
+            "messages are lost and late while nodes crash and machines hang",
+            w -> {
+              w.loss = 0.02;
+              w.late = 0.02;
+              each(w, 15_000, 14_000, 6, () -> crash(w, 3_000, w.random.nextInt(3)));
+              each(w, 17_000, 11_000, 6, () -> hang(w, 20_000));
+              w.time.at(40_000, () -> outage(w, 15_000));
+            }),
+        day(
+            "old changes are forgotten by the state service",
+            w -> each(w, 10_000, 10_000, 10, w.store::forgetChanges)));
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("days")
+  void keepsTheRulesAndEndsAllWork(String name, Consumer<World> troubles) {
+    for (long seed = 1; seed <= 3; seed++) {
+      World w = new World(seed * 7_919 + name.hashCode());
+      w.begin(30, 90_000);
+      troubles.accept(w);
+      w.time.runUntil(DAY_MS);
+      assertThat(w.violations).as("rules, seed %d", seed).isEmpty();
+      assertThat(w.unfinished()).as("unfinished, seed %d", seed).isEmpty();
+      assertThat(w.store.largestValue).as("bytes of a value").isLessThan(4096);
+      // Nothing is left behind: no live records of ended jobs, no machine nobody looks after.
+      assertThat(w.store.liveKeys("w/j/")).as("live jobs").isZero();
+      assertThat(w.machines).as("machines").isEmpty();
+    }
+  }
+
+  @Test
+  void givesTheSameVerdictEveryTime() {
+    long[] ends = new long[2];
+    for (int i = 0; i < 2; i++) {
+      World w = new World(4);
+      w.begin(10, 20_000);
+      w.time.runUntil(60_000);
+      ends[i] = w.store.liveKeys("") * 1_000L + w.random.nextInt(1_000);
+    }
+    assertThat(ends[0]).isEqualTo(ends[1]);
+  }
+}
--- /dev/null
+++ b/src/test/java/dev/windbend/daemon/StandInStore.java
@@ -0,0 +1,250 @@
+package dev.windbend.daemon;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dev.windbend.daemon.io.Web;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+/** The state service by its published protocol. */
+final class StandInStore {
+  static final ObjectMapper JSON = new ObjectMapper();
+
+  private record Value(JsonNode v, long stamp, long permit) {}
+
+  private record Change(String key, JsonNode v, long stamp) {}
+
+  private final VirtualTime time;
+  private final TreeMap<String, Value> keys = new TreeMap<>();
+  private final List<Change> log = new ArrayList<>();
+  private final Map<Long, long[]> holds = new HashMap<>();
+  private final List<Runnable> watchers = new ArrayList<>();
+  private long ledger;
+  private long nextHold = 1;
+  private long forgotten;
+  boolean outage;
+
+  /** One node alone gets 503 while this names it. */
+  String deaf = "";
+
+  int largestValue;
+
+  StandInStore(VirtualTime time) {
+    this.time = time;
+  }
+
+  int liveKeys(String prefix) {
+    return keys.subMap(prefix, prefix + '\uffff').size();
+  }
+
+  /** An outage ends: every hold has its full time again. */
+  void recover() {
+    outage = false;
+    holds.values().forEach(h -> h[1] = time.nowMs() + h[0]);
+    holds.keySet().forEach(this::watchHold);
+  }
+
+  /** Old changes can be followed no more. */
+  void forgetChanges() {
+    forgotten = ledger;
+  }
+
+  void handle(String from, String method, String path, byte[] body, Consumer<Web.Reply> done) {
+    if (path.startsWith("/follow")) {
+      follow(path, done);
+      return;
+    }
+    if (outage || from.equals(deaf)) {
+      done.accept(new Web.Reply(503, "{}".getBytes()));
+      return;
+    }
+    try {
+      done.accept(answer(method, path, body));
+    } catch (java.io.IOException e) {
+      done.accept(new Web.Reply(400, "{}".getBytes()));
+    }
+  }
+
+  private Web.Reply answer(String method, String path, byte[] body) throws java.io.IOException {
+    if (path.startsWith("/keys?")) {
+      String prefix = query(path, "prefix");
+      String after = query(path, "from");
+      int limit = Integer.parseInt(query(path, "limit"));
+      ObjectNode page = JSON.createObjectNode();
+      ArrayNode pairs = page.putArray("pairs");
+      boolean more = false;
+      for (Map.Entry<String, Value> e : keys.tailMap(prefix, true).entrySet()) {
+        if (!e.getKey().startsWith(prefix) || e.getKey().compareTo(after) <= 0) {
+          continue;
+        }
+        if (pairs.size() == limit) {
+          more = true;
+          break;
+        }
+        pairs.add(pair(e.getKey(), e.getValue()));
+      }
+      page.put("has_next", more).put("ledger", ledger);
+      return reply(200, page);
+    }
+    if (path.startsWith("/keys/")) {
+      Value v = keys.get(path.substring(6));
+      return v == null
+          ? reply(404, JSON.createObjectNode().put("ledger", ledger))
+          : reply(200, pair(path.substring(6), v));
+    }
+    if (path.equals("/txn")) {
+      return txn(JSON.readTree(body));
+    }
+    if (path.equals("/holds")) {
+      long id = nextHold++;
+      long life = JSON.readTree(body).get("life_ms").asLong();
+      holds.put(id, new long[] {life, time.nowMs() + life});
+      watchHold(id);
+      return reply(200, JSON.createObjectNode().put("permit", id));
+    }
+    if (path.endsWith("/renew")) {
+      long[] h = holds.get(Long.parseLong(path.split("/")[2]));
+      if (h == null) {
+        return new Web.Reply(404, "{}".getBytes());
+      }
+      h[1] = time.nowMs() + h[0];
+      return new Web.Reply(200, "{}".getBytes());
+    }
+    return new Web.Reply(400, "{}".getBytes());
+  }
+
+  private Web.Reply txn(JsonNode t) {
+    ObjectNode out = JSON.createObjectNode();
+    ArrayNode failed = JSON.createArrayNode();
+    for (JsonNode c : t.path("when")) {
+      Value v = keys.get(c.get("path").asText());
+      if ((v == null ? 0 : v.stamp) != c.get("stamp").asLong()) {
+        failed.add(c.get("path"));
+      }
+    }
+    if (!failed.isEmpty()) {
+      out.set("failed", failed);
+      return reply(409, out.put("ledger", ledger));
+    }
+    for (JsonNode c : t.path("then")) {
+      if (c.has("permit") && !holds.containsKey(c.get("permit").asLong())) {
+        return new Web.Reply(400, "{\"error\":\"no such lease\"}".getBytes());
+      }
+    }
+    ledger++;
+    for (JsonNode c : t.path("then")) {
+      if (c.has("set")) {
+        String key = c.get("set").asText();
+        largestValue = Math.max(largestValue, c.get("v").toString().length());
+        keys.put(key, new Value(c.get("v"), ledger, c.path("permit").asLong(-1)));
+        log.add(new Change(key, c.get("v"), ledger));
+      } else {
+        String key = c.get("remove").asText();
+        keys.remove(key);
+        log.add(new Change(key, null, ledger));
+      }
+    }
+    wake();
+    return reply(200, out.put("ledger", ledger));
+  }
+
+  private void watchHold(long id) {
+    long[] h = holds.get(id);
+    time.at(
+        h[1] - time.nowMs() + 50,
+        () -> {
+          if (outage || holds.get(id) != h) {
+            return;
+          }
+          if (h[1] <= time.nowMs()) {
+            holds.remove(id);
+            for (String k : List.copyOf(keys.keySet())) {
+              if (keys.get(k).permit == id) {
+                keys.remove(k);
+                log.add(new Change(k, null, ++ledger));
+              }
+            }
+            wake();
+          } else {
+            watchHold(id);
+          }
+        });
+  }
+
+  private void follow(String path, Consumer<Web.Reply> done) {
+    long from = Long.parseLong(query(path, "from"));
+    String prefix = query(path, "prefix");
+    boolean[] answered = {false};
+    Runnable look =
+        () -> {
+          if (answered[0] || outage) {
+            return;
+          }
+          if (from < forgotten) {
+            answered[0] = true;
+            done.accept(new Web.Reply(410, "{}".getBytes()));
+            return;
+          }
+          ArrayNode events = JSON.createArrayNode();
+          for (Change c : log) {
+            if (c.stamp > from && c.key.startsWith(prefix)) {
+              ObjectNode e = JSON.createObjectNode().put("stamp", c.stamp);
+              if (c.v == null) {
+                e.put("remove", c.key);
+              } else {
+                e.put("set", c.key).set("v", c.v);
+              }
+              events.add(e);
+            }
+          }
+          if (!events.isEmpty()) {
+            answered[0] = true;
+            ObjectNode out = JSON.createObjectNode().put("ledger", ledger);
+            out.set("log", events);
+            done.accept(reply(200, out));
+          }
+        };
+    watchers.add(look);
+    look.run();
+    time.at(
+        Long.parseLong(query(path, "block_ms")),
+        () -> {
+          watchers.remove(look);
+          if (!answered[0]) {
+            answered[0] = true;
+            ObjectNode out = JSON.createObjectNode().put("ledger", ledger);
+            out.putArray("log");
+            done.accept(reply(200, out));
+          }
+        });
+  }
+
+  private void wake() {
+    List.copyOf(watchers).forEach(w -> time.at(0, w));
+  }
+
+  private static JsonNode pair(String key, Value v) {
+    ObjectNode p = JSON.createObjectNode().put("path", key).put("stamp", v.stamp);
+    p.set("v", v.v);
+    return p;
+  }
+
+  static Web.Reply reply(int status, JsonNode body) {
+    return new Web.Reply(status, body.toString().getBytes(java.nio.charset.StandardCharsets.UTF_8));
+  }
+
+  private static String query(String path, String name) {
+    for (String part : path.substring(path.indexOf('?') + 1).split("&")) {
+      if (part.startsWith(name + "=")) {
+        return part.substring(name.length() + 1);
+      }
+    }
+    return "";
+  }
+}
--- /dev/null
+++ b/src/test/java/dev/windbend/daemon/StandInWorker.java
@@ -0,0 +1,271 @@
+package dev.windbend.daemon;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** A machine's worker by its published protocol. */
+final class StandInWorker {
+  private static final long ANSWER_MS = 4_000;
+
+  final String name;
+  final String zone;
+  final boolean spot;
+  private final World world;
+  private final Map<String, Task> tasks = new LinkedHashMap<>();
+  private int node;
+  private long shift = 1;
+  private long tally;
+  private long baton;
+  private long leaseFromMs;
+  private long sentMs;
+  private long asked;
+  private boolean inFlight;
+  private boolean news;
+  boolean gone;
+  boolean hung;
+
+  /** Fails every task that it starts. */
+  boolean sick;
+
+  Double recallS;
+
+  private static final class Task {
+    String drop;
+    long run;
+    String status;
+    String cause;
+    boolean counted;
+  }
+
+  StandInWorker(World world, String name, String zone, boolean spot) {
+    this.world = world;
+    this.name = name;
+    this.zone = zone;
+    this.spot = spot;
+    this.node = world.random.nextInt(3);
+  }
+
+  void start() {
+    leaseFromMs = world.time.nowMs();
+    report();
+    lease();
+  }
+
+  void vanish() {
+    gone = true;
+    tasks.values().forEach(this::leave);
+    tasks.clear();
+  }
+
+  private void lease() {
+    if (gone) {
+      return;
+    }
+    if (!hung && world.time.nowMs() - leaseFromMs > World.LEASE_MS) {
+      tasks.values().forEach(this::leave);
+      tasks.clear();
+      shift++;
+      leaseFromMs = world.time.nowMs();
+    }
+    world.time.at(200, this::lease);
+  }
+
+  private void next(long ms) {
+    long mine = ++asked;
+    world.time.at(
+        ms,
+        () -> {
+          if (mine == asked) {
+            report();
+          }
+        });
+  }
+
+  private void report() {
+    if (gone) {
+      return;
+    }
+    if (hung) {
+      next(500);
+      return;
+    }
+    ObjectNode r =
+        StandInStore.JSON
+            .createObjectNode()
+            .put("truck", name)
+            .put("addr", "w:1")
+            .put("rig", "t4")
+            .put("yard", zone)
+            .put("standby", spot)
+            .put("shift", shift)
+            .put("tally", ++tally)
+            .put("baton", baton)
+            .put("recall_s", recallS);
+    ArrayNode drops = r.putArray("drops");
+    for (Task t : tasks.values()) {
+      drops
+          .addObject()
+          .put("drop", t.drop)
+          .put("run", t.run)
+          .put("status", t.status)
+          .put("cause", t.cause);
+    }
+    long sent = world.time.nowMs();
+    sentMs = sent;
+    long inShift = shift;
+    long mine = ++asked;
+    boolean[] over = {false};
+    inFlight = true;
+    news = false;
+    world.call(
+        name,
+        "n" + node + ":80",
+        "POST",
+        "/hello",
+        r.toString().getBytes(java.nio.charset.StandardCharsets.UTF_8),
+        ANSWER_MS,
+        reply -> {
+          if (over[0] || gone || hung || mine != asked) {
+            return;
+          }
+          over[0] = true;
+          inFlight = false;
+          if (reply.status() == 200) {
+            execute(world.json(reply.body()), sent, inShift);
+          } else if (reply.status() == 421 && world.json(reply.body()).hasNonNull("dispatcher")) {
+            node = world.json(reply.body()).get("dispatcher").asText().charAt(1) - '0';
+            next(300);
+          } else {
+            node = (node + 1) % 3;
+            next(1_000);
+          }
+        });
+    world.time.at(
+        ANSWER_MS + 10,
+        () -> {
+          if (!over[0] && mine == asked) {
+            over[0] = true;
+            inFlight = false;
+            node = (node + 1) % 3;
+            next(1_000);
+          }
+        });
+  }
+
+  private void execute(JsonNode answer, long sent, long inShift) {
+    long token = answer.path("baton").asLong(-1);
+    next(World.REPORT_MS * 3 / 4 + world.random.nextInt((int) World.REPORT_MS / 2));
+    if (token < baton || inShift != shift) {
+      return;
+    }
+    boolean changed = token > baton;
+    baton = token;
+    leaseFromMs = sent;
+    for (JsonNode o : answer.path("orders")) {
+      String drop = o.get("drop").asText();
+      long run = o.get("run").asLong();
+      Task t = tasks.get(drop);
+      switch (o.get("order").asText()) {
+        case "start" -> changed |= start(drop, run, t);
+        case "kill" -> {
+          if (t != null && t.run == run && !t.status.equals("exited")) {
+            exit(t, "halted");
+            changed = true;
+          }
+        }
+        default -> {
+          if (t != null && t.run == run && t.status.equals("exited")) {
+            tasks.remove(drop);
+          }
+        }
+      }
+    }
+    if (changed || news) {
+      changed();
+    }
+  }
+
+  /** One report in flight at a time: what changes meanwhile is told in the next. */
+  private void changed() {
+    if (inFlight) {
+      news = true;
+    } else {
+      next(Math.max(0, sentMs + 500 - world.time.nowMs()));
+    }
+  }
+
+  private boolean start(String drop, long run, Task before) {
+    if (before != null && before.run == run) {
+      return false;
+    }
+    if (before != null && !before.status.equals("exited")) {
+      world.broken("in_use: " + drop + " is on " + name + " with another attempt");
+      return false;
+    }
+    Task t = new Task();
+    t.drop = drop;
+    t.run = run;
+    t.status = "pulling";
+    tasks.put(drop, t);
+    world.time.at(300, () -> begin(t));
+    return true;
+  }
+
+  private void begin(Task t) {
+    if (gone || tasks.get(t.drop) != t || !t.status.equals("pulling")) {
+      return;
+    }
+    if (hung) {
+      world.time.at(300, () -> begin(t));
+      return;
+    }
+    t.status = "running";
+    t.counted = true;
+    world.started(t.drop, this);
+    changed();
+    world.time.at(sick ? 200 : world.runMs(t.drop), () -> end(t));
+  }
+
+  private void end(Task t) {
+    if (gone || tasks.get(t.drop) != t || !t.status.equals("running")) {
+      return;
+    }
+    if (hung) {
+      world.time.at(300, () -> end(t));
+      return;
+    }
+    if (!sick) {
+      world.completed(t.drop);
+    }
+    exit(t, sick ? "error" : "done");
+    changed();
+  }
+
+  private void exit(Task t, String cause) {
+    leave(t);
+    t.status = "exited";
+    t.cause = cause;
+  }
+
+  private void leave(Task t) {
+    if (t.counted) {
+      t.counted = false;
+      world.left(t.drop, this);
+    }
+  }
+
+  List<String> running() {
+    List<String> all = new ArrayList<>();
+    for (Task t : tasks.values()) {
+      if (t.counted) {
+        all.add(t.drop);
+      }
+    }
+    return all;
+  }
+}
--- /dev/null
+++ b/src/test/java/dev/windbend/daemon/VirtualTime.java
@@ -0,0 +1,76 @@
+package dev.windbend.daemon;
+
+import dev.windbend.daemon.io.Loop;
+import java.util.PriorityQueue;
+
+/** Simulated time: everything happens in one thread, in the same order every time. */
+final class VirtualTime {
+  private record Event(long atMs, long order, Runnable task) {}
+
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(
+          (a, b) ->
+              a.atMs != b.atMs ? Long.compare(a.atMs, b.atMs) : Long.compare(a.order, b.order));
+  private long nowMs;
+  private long order;
+
+  long nowMs() {
+    return nowMs;
+  }
+
+  void at(long delayMs, Runnable task) {
+    events.add(new Event(nowMs + Math.max(0, delayMs), order++, task));
+  }
+
+  void runUntil(long endMs) {
+    while (!events.isEmpty() && events.peek().atMs <= endMs) {
+      Event e = events.poll();
+      nowMs = e.atMs;
+      e.task.run();
+    }
+    nowMs = endMs;
+  }
+
+  /** A process's own loop: its clocks start anywhere, and nothing of it runs once it is dead. */
+  final class ProcessLoop implements Loop {
+    private final long offsetMs;
+    private final long wallOffMs;
+    private boolean dead;
+
+    ProcessLoop(long offsetMs, long wallOffMs) {
+      this.offsetMs = offsetMs;
+      this.wallOffMs = wallOffMs;
+    }
+
+    void kill() {
+      dead = true;
+    }
+
+    boolean dead() {
+      return dead;
+    }
+
+    @Override
+    public long nowMs() {
+      return nowMs + offsetMs;
+    }
+
+    @Override
+    public long wallMs() {
+      return 1_700_000_000_000L + nowMs + wallOffMs;
+    }
+
+    @Override
+    public Timer after(long delayMs, Runnable task) {
+      boolean[] off = {false};
+      at(
+          delayMs,
+          () -> {
+            if (!off[0] && !dead) {
+              task.run();
+            }
+          });
+      return () -> off[0] = true;
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/dev/windbend/daemon/World.java
@@ -0,0 +1,483 @@
+package dev.windbend.daemon;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dev.windbend.daemon.io.Web;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/** Three nodes, stand-ins for all they talk to, users, and the rules, all in virtual time. */
+final class World {
+  static final long LEASE_MS = 14_000;
+  static final long REPORT_MS = 1_500;
+  static final long CANCEL_MS = 30_000;
+  private static final double TEAM_CORES = 40;
+
+  final VirtualTime time = new VirtualTime();
+  final Random random;
+  final StandInStore store = new StandInStore(time);
+  final Map<String, StandInWorker> machines = new LinkedHashMap<>();
+  final List<String> violations = new ArrayList<>();
+  final Map<String, User> users = new LinkedHashMap<>();
+  private final Node[] nodes = new Node[3];
+  private final VirtualTime.ProcessLoop[] loops = new VirtualTime.ProcessLoop[3];
+  private final Map<String, List<String>> hires = new HashMap<>();
+  private final Set<String> listed = new HashSet<>();
+  private final Map<String, Set<StandInWorker>> on = new HashMap<>();
+  private final Set<String> finished = new HashSet<>();
+  private int nextMachine;
+  private int capacity = 30;
+
+  /** Chances that a message is lost, answered but unheard, or comes late. */
+  double loss = 0.002;
+
+  double late = 0.002;
+
+  /** Pairs "a>b" that can't talk: sends hang. */
+  final Set<String> cut = new HashSet<>();
+
+  World(long seed) {
+    this.random = new Random(seed);
+  }
+
+  // ---- nodes
+
+  void startNode(int i) {
+    VirtualTime.ProcessLoop loop =
+        time.new ProcessLoop(random.nextInt(1_000_000), random.nextInt(200) - 100);
+    loops[i] = loop;
+    try {
+      nodes[i] =
+          new Node(
+              Settings.parse(settings(i)),
+              Operator.defaults(),
+              loop,
+              (address, method, path, body, limit, done) ->
+                  callFrom(loop, "n" + i, address, method, path, body, limit, done));
+    } catch (Settings.Invalid e) {
+      throw new AssertionError(e);
+    }
+    loop.after(1_000, nodes[i]::start);
+  }
+
+  void kill(int i, long backMs) {
+    loops[i].kill();
+    nodes[i] = null;
+    time.at(backMs, () -> startNode(i));
+  }
+
+  private static String settings(int i) {
+    StringBuilder s = new StringBuilder();
+    s.append("host_name = \"n%d\"\ndomain = \"a\"\n".formatted(i));
+    s.append("client_listen = \"n%1$d:80\"\npeer_bind = \"n%1$d:81\"\n".formatted(i));
+    for (int p = 0; p < 3; p++) {
+      if (p != i) {
+        s.append("[[seeds]]\nhost_name = \"n%1$d\"\naddr = \"n%1$d:81\"\n".formatted(p));
+      }
+    }
+    s.append("[services]\ncloud = \"cloud:1\"\nstate = \"state:1\"\n[facts]\nsize = 3\n");
+    s.append("zones = [\"a\", \"b\"]\n");
+    for (String team : List.of("red", "blue", "green")) {
+      s.append(
+          "[[facts.teams]]\nname = \"%s\"\ncpus = 16.0\ncpus_max = %s\ngpus = 0.0\ngpus_max = 0.0\n"
+              .formatted(team, TEAM_CORES));
+    }
+    s.append("[facts.workers]\nreport_s = 1.5\nlease_s = 14.0\ncancel_s = 30.0\n");
+    s.append("[facts.state]\nrps = 150.0\nwrite_rps = 40.0\nvalue_kb = 4.0\ntxn_ops = 8\n");
+    s.append("[facts.cloud]\nrps = 6.0\nlist_lag_s = 4.0\n");
+    return s.toString();
+  }
+
+  // ---- network
+
+  JsonNode json(byte[] body) {
+    try {
+      return StandInStore.JSON.readTree(body);
+    } catch (java.io.IOException e) {
+      return StandInStore.JSON.createObjectNode();
+    }
+  }
+
+  void call(
+      String from,
+      String address,
+      String method,
+      String path,
+      byte[] body,
+      long limitMs,
+      Consumer<Web.Reply> done) {
+    callFrom(null, from, address, method, path, body, limitMs, done);
+  }
+
+  private void callFrom(
+      VirtualTime.ProcessLoop caller,
+      String from,
+      String address,
+      String method,
+      String path,
+      byte[] body,
+      long limitMs,
+      Consumer<Web.Reply> done) {
+    boolean[] over = {false};
+    Consumer<Web.Reply> once =
+        r -> {
+          if (!over[0] && (caller == null || !caller.dead())) {
+            over[0] = true;
+            done.accept(r);
+          }
+        };
+    time.at(limitMs, () -> once.accept(Web.Reply.NONE));
+    String to = address.substring(0, address.indexOf(':'));
+    if (cut.contains(from + ">" + to) || random.nextDouble() < loss) {
+      return;
+    }
+    long wait = 1 + random.nextInt(10);
+    if (random.nextDouble() < late) {
+      wait += random.nextInt(30_000);
+    }
+    time.at(
+        wait,
+        () ->
+            deliver(
+                from,
+                address,
+                method,
+                path,
+                body,
+                r -> {
+                  if (!cut.contains(to + ">" + from) && random.nextDouble() >= loss) {
+                    time.at(1 + random.nextInt(10), () -> once.accept(r));
+                  }
+                }));
+  }
+
+  private void deliver(
+      String from,
+      String address,
+      String method,
+      String path,
+      byte[] body,
+      Consumer<Web.Reply> done) {
+    if (address.equals("state:1")) {
+      store.handle(from, method, path, body, done);
+    } else if (address.equals("cloud:1")) {
+      cloud(path, body, done);
+    } else {
+      int i = address.charAt(1) - '0';
+      if (nodes[i] == null || loops[i].dead()) {
+        done.accept(Web.Reply.NONE);
+        return;
+      }
+      VirtualTime.ProcessLoop loop = loops[i];
+      Consumer<Web.Answer> answer =
+          a -> {
+            if (!loop.dead()) {
+              done.accept(new Web.Reply(a.status(), a.body()));
+            }
+          };
+      Web.Request request =
+          new Web.Request(method, path, Map.of(), body == null ? new byte[0] : body);
+      if (address.endsWith(":81")) {
+        nodes[i].servePeer(request, answer);
+      } else {
+        nodes[i].serve(request, answer);
+      }
+    }
+  }
+
+  // ---- cloud
+
+  private void cloud(String path, byte[] body, Consumer<Web.Reply> done) {
+    ObjectNode out = StandInStore.JSON.createObjectNode();
+    if (path.equals("/machine_types")) {
+      ObjectNode t = out.putArray("rigs").addObject();
+      t.put("label", "t4").put("cores", 4.0).put("cards", 0.0).put("ram_gb", 16.0);
+      t.put("cache_gb", 50.0).put("pull_gb_per_s", 1.0).put("rate", 2.0).put("low_price", 1.0);
+      t.put("ready_s", 5.0).putArray("yards").add("a").add("b");
+    } else if (path.startsWith("/hosts/return")) {
+      for (JsonNode n : json(body).path("trucks")) {
+        StandInWorker w = machines.remove(n.asText());
+        if (w != null) {
+          w.vanish();
+          capacity++;
+        }
+      }
+    } else if (path.startsWith("/hosts?")) {
+      ArrayNode all = out.putArray("trucks");
+      for (StandInWorker w : machines.values()) {
+        if (listed.contains(w.name)) {
+          all.addObject()
+              .put("uid", w.name)
+              .put("rig", "t4")
+              .put("yard", w.zone)
+              .put("standby", w.spot)
+              .put("status", "running")
+              .put("age_s", 10.0);
+        }
+      }
+      out.put("has_next", false);
+    } else {
+      JsonNode r = json(body);
+      String hire = r.get("hire").asText();
+      if (!hires.containsKey(hire)) {
+        int n = Math.min(capacity, r.get("how_many").asInt());
+        if (n == 0) {
+          done.accept(new Web.Reply(503, "{\"error\":\"no capacity\"}".getBytes()));
+          return;
+        }
+        List<String> names = new ArrayList<>();
+        for (int i = 0; i < n; i++) {
+          names.add(boot(r.get("yard").asText(), r.get("standby").asBoolean()));
+        }
+        hires.put(hire, names);
+      }
+      ArrayNode all = out.putArray("trucks");
+      hires.get(hire).forEach(all::add);
+    }
+    done.accept(StandInStore.reply(200, out));
+  }
+
+  /** A new machine; also one that nobody asked for. */
+  String boot(String zone, boolean spot) {
+    String name = "host-%06d".formatted(nextMachine++);
+    StandInWorker w = new StandInWorker(this, name, zone, spot);
+    machines.put(name, w);
+    capacity--;
+    time.at(3_000 + random.nextInt(4_000), w::start);
+    time.at(4_000, () -> listed.add(name));
+    return name;
+  }
+
+  /** The cloud takes a machine without notice. */
+  void take(StandInWorker w) {
+    if (machines.remove(w.name) != null) {
+      w.vanish();
+      capacity++;
+    }
+  }
+
+  // ---- rules
+
+  void broken(String what) {
+    violations.add(time.nowMs() + " " + what);
+  }
+
+  private static String uid(String drop) {
+    return drop.substring(0, drop.indexOf('/'));
+  }
+
+  void started(String drop, StandInWorker w) {
+    User u = users.get(uid(drop));
+    Set<StandInWorker> places = on.computeIfAbsent(drop, k -> new HashSet<>());
+    if (!places.isEmpty()) {
+      broken("ran_twice: " + drop);
+    }
+    places.add(w);
+    if (u == null || u.firstSentMs < 0) {
+      broken("unknown task " + drop);
+      return;
+    }
+    if (u.toldCancelledMs >= 0 && time.nowMs() > u.toldCancelledMs + CANCEL_MS) {
+      broken("ran_cancelled: " + drop);
+    }
+    if (u.zone != null && !u.zone.equals(w.zone) || w.spot && !u.spot) {
+      broken("wrong_place: " + drop + " on " + w.name);
+    }
+    double used = 0;
+    for (Map.Entry<String, Set<StandInWorker>> e : on.entrySet()) {
+      User o = users.get(uid(e.getKey()));
+      if (!e.getValue().isEmpty() && o != null && o.team.equals(u.team)) {
+        used += o.cores;
+      }
+    }
+    if (used > TEAM_CORES + 1e-6) {
+      broken("quota: " + u.team + " uses " + used);
+    }
+  }
+
+  void left(String drop, StandInWorker w) {
+    on.get(drop).remove(w);
+    User u = users.get(uid(drop));
+    if (u != null && u.toldCancelledMs >= 0 && time.nowMs() > u.toldCancelledMs + CANCEL_MS) {
+      broken("ran_cancelled: " + drop + " left late");
+    }
+  }
+
+  void completed(String drop) {
+    finished.add(drop);
+  }
+
+  long runMs(String drop) {
+    return 2_000 + Math.floorMod(drop.hashCode(), 9_000);
+  }
+
+  // ---- users
+
+  final class User {
+    final String uid;
+    final String team;
+    final int tasks;
+    final double cores;
+    final String zone;
+    final boolean spot;
+    final boolean cancels;
+    long firstSentMs = -1;
+    long toldCancelledMs = -1;
+    String told = "";
+
+    User(int n, int tasks, String zone, boolean spot, boolean cancels) {
+      this.uid = "wk-%06d".formatted(n);
+      this.team = List.of("red", "blue", "green").get(n % 3);
+      this.tasks = tasks;
+      this.cores = 1 + n % 2;
+      this.zone = zone;
+      this.spot = spot;
+      this.cancels = cancels;
+      users.put(uid, this);
+    }
+
+    void submit() {
+      if (firstSentMs < 0) {
+        firstSentMs = time.nowMs();
+      }
+      ObjectNode j = StandInStore.JSON.createObjectNode();
+      j.put("uid", uid).put("fleet", "f" + tasks % 3).put("crew", team).put("shape", "batch");
+      j.put("urgency", tasks % 4 == 0 ? "urgent" : "standard").put("drops", tasks);
+      j.put("cores", cores).put("cards", 0.0).put("ram_gb", 1.0).put("load", "img");
+      j.put("pull_gb", 0.1).put("yard", zone).put("together", false).put("spread", false);
+      j.put("standby", spot).put("haul_s", 6.0).put("waypoint_s", 0.0).put("stow_s", 0.0);
+      j.put("due_s", tasks % 2 == 0 ? 60.0 : null);
+      ask(
+          "POST",
+          "/v1/jobs",
+          j.toString().getBytes(java.nio.charset.StandardCharsets.UTF_8),
+          5_000,
+          r -> {
+            if (r.status() == 201 || r.status() == 200) {
+              hear(r);
+              time.at(5_000, this::poll);
+              if (cancels) {
+                time.at(random.nextInt(20_000), this::cancel);
+              }
+            } else if (r.status() == 400 || r.status() == 422) {
+              broken("forgotten: " + uid + " was refused with " + r.status());
+            } else {
+              time.at(1_000, this::submit);
+            }
+          });
+    }
+
+    void poll() {
+      ask(
+          "GET",
+          "/v1/jobs/" + uid,
+          null,
+          2_000,
+          r -> {
+            if (r.status() == 404) {
+              broken("forgotten: " + uid + " got 404");
+            } else if (r.status() == 200) {
+              hear(r);
+            }
+            time.at(5_000, this::poll);
+          });
+    }
+
+    void cancel() {
+      ask(
+          "POST",
+          "/v1/jobs/" + uid + "/cancel",
+          new byte[0],
+          5_000,
+          r -> {
+            if (r.status() == 200) {
+              hear(r);
+            } else {
+              time.at(1_000, this::cancel);
+            }
+          });
+    }
+
+    private void hear(Web.Reply r) {
+      String status = json(r.body()).path("status").asText();
+      boolean over = told.equals("done") || told.equals("aborted");
+      if (over && !status.equals(told)) {
+        broken("went_back: " + uid + " from " + told + " to " + status);
+      }
+      if (status.equals("aborted")) {
+        if (!cancels) {
+          broken("went_back: " + uid + " was not cancelled by its user");
+        }
+        if (toldCancelledMs < 0) {
+          toldCancelledMs = time.nowMs();
+        }
+      }
+      if (status.equals("done")) {
+        for (int i = 0; i < tasks; i++) {
+          if (!finished.contains(uid + "/" + i)) {
+            broken("not_done: " + uid + "/" + i);
+          }
+        }
+      }
+      told = status;
+    }
+
+    private void ask(
+        String method, String path, byte[] body, long limitMs, Consumer<Web.Reply> done) {
+      call("users", "n" + random.nextInt(3) + ":80", method, path, body, limitMs, done);
+    }
+  }
+
+  /** Asks about a job that nobody has submitted. */
+  void askForNothing() {
+    call(
+        "users",
+        "n" + random.nextInt(3) + ":80",
+        "GET",
+        "/v1/jobs/wk-999999",
+        null,
+        2_000,
+        r -> {
+          if (r.status() == 200) {
+            broken("invented");
+          }
+          time.at(7_000, this::askForNothing);
+        });
+  }
+
+  void begin(int jobs, long spanMs) {
+    for (int i = 0; i < 3; i++) {
+      startNode(i);
+    }
+    for (int n = 0; n < jobs; n++) {
+      String zone = n % 5 == 0 ? "b" : null;
+      User u = new User(n, 1 + random.nextInt(12), zone, n % 7 != 0, n % 6 == 5);
+      time.at(3_000 + random.nextInt((int) spanMs), u::submit);
+    }
+    time.at(5_000, this::askForNothing);
+  }
+
+  List<String> unfinished() {
+    List<String> all = new ArrayList<>();
+    for (User u : users.values()) {
+      boolean over = u.told.equals("done") || u.told.equals("aborted");
+      if (!over || u.told.equals("aborted") && runs(u)) {
+        all.add(u.uid + " " + u.told);
+      }
+    }
+    return all;
+  }
+
+  private boolean runs(User u) {
+    return on.entrySet().stream()
+        .anyMatch(e -> uid(e.getKey()).equals(u.uid) && !e.getValue().isEmpty());
+  }
+}
