--- a/src/main/java/dev/windbend/daemon/Operator.java
+++ b/src/main/java/dev/windbend/daemon/Operator.java
@@ -41,7 +41,8 @@
         millis(ini, "plan", "block_s", 60, 1),
         number(ini, "plan", "implied_due", 4, 1),
         millis(ini, "part", "hold_s", 6, 1),
-        flag(ini, "plan", "due_from_aims", true));
+        flag(ini, "plan", "due_from_aims", true),
+        number(ini, "worker", "idle_hold", 0.7, 0));
   }
 
   private static String get(Ini ini, String section, String key) {
--- a/src/main/java/dev/windbend/part/Owner.java
+++ b/src/main/java/dev/windbend/part/Owner.java
@@ -338,15 +338,39 @@
     if (m.tasks.size() < before || free) {
       roundNow(now);
     }
-    Waiting w = new Waiting(m, r, now + COMMIT_WAIT_MS, done);
     if (writePending(m)) {
-      answers.add(w);
-      loop.after(COMMIT_WAIT_MS, this::answerWaiting);
+      await(new Waiting(m, r, now + COMMIT_WAIT_MS, false, done), COMMIT_WAIT_MS);
+    } else if (hasRoom(m) && desk.orders(m, r, false).isEmpty() && !startPending(m)) {
+      // With room and nothing to do, it hears of new work at once instead of at its next report.
+      long hold = (long) (1000 * facts.reportS() * policy.idleHold());
+      await(new Waiting(m, r, now + hold, true, done), hold);
     } else {
-      answerNow(w);
+      answerNow(new Waiting(m, r, now, false, done));
     }
   }
 
+  private void await(Waiting w, long ms) {
+    answers.add(w);
+    loop.after(ms, this::answerWaiting);
+  }
+
+  private static boolean hasRoom(Machine m) {
+    double free = m.type.cores();
+    for (Placement p : m.tasks.values()) {
+      free -= p.job.spec.cores();
+    }
+    return free >= 1 && !m.draining && !m.returning && m.recorded();
+  }
+
+  private static boolean startPending(Machine m) {
+    for (Placement p : m.tasks.values()) {
+      if (!p.seen && p.job.startable(p)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Tasks that can save do so in time; the others may still finish before the machine goes. */
   private void drain(Machine m, long now) {
     for (Placement p : m.tasks.values()) {
@@ -382,7 +406,8 @@
   private void answerWaiting() {
     long now = loop.nowMs();
     for (Waiting w : List.copyOf(answers)) {
-      if (now >= w.untilMs() || !writePending(w.machine())) {
+      boolean work = !w.idle() || startPending(w.machine()) || !hasRoom(w.machine());
+      if (now >= w.untilMs() || work && !writePending(w.machine())) {
         answers.remove(w);
         answerNow(w);
       }
--- a/src/main/java/dev/windbend/part/Policy.java
+++ b/src/main/java/dev/windbend/part/Policy.java
@@ -7,4 +7,5 @@
     long blockMs,
     double impliedDue,
     long holdMs,
-    boolean dueFromAims) {}
+    boolean dueFromAims,
+    double idleHold) {}
