--- a/src/main/java/dev/windbend/part/Owner.java
+++ b/src/main/java/dev/windbend/part/Owner.java
@@ -95,7 +95,11 @@
 
   /** A worker's report whose answer waits for a write. */
   private record Waiting(
-      Machine machine, WorkerMessages.Report report, long untilMs, Consumer<Web.Answer> done) {}
+      Machine machine,
+      WorkerMessages.Report report,
+      long untilMs,
+      boolean idle,
+      Consumer<Web.Answer> done) {}
 
   public Owner(
       int part,
@@ -359,7 +363,7 @@
     for (Placement p : m.tasks.values()) {
       free -= p.job.spec.cores();
     }
-    return m.tasks.isEmpty() && !m.draining && !m.returning && m.recorded();
+    return free >= 1 && !m.draining && !m.returning && m.recorded();
   }
 
   private static boolean startPending(Machine m) {
