--- a/src/main/java/dev/windbend/part/Owner.java
+++ b/src/main/java/dev/windbend/part/Owner.java
@@ -363,7 +363,7 @@
     for (Placement p : m.tasks.values()) {
       free -= p.job.spec.cores();
     }
-    return m.tasks.isEmpty() && !m.draining && !m.returning && m.recorded();
+    return free >= 1 && !m.draining && !m.returning && m.recorded();
   }
 
   private static boolean startPending(Machine m) {
