--- a/src/main/java/dev/windbend/part/Policy.java
+++ b/src/main/java/dev/windbend/part/Policy.java
@@ -5,6 +5,7 @@
     long periodMs,
     boolean roundsOnEvents,
     long blockMs,
+    long extensionMs,
     double impliedDue,
     long holdMs,
     boolean dueFromAims,
