--- a/src/main/java/dev/windbend/daemon/Operator.java
+++ b/src/main/java/dev/windbend/daemon/Operator.java
@@ -39,7 +39,6 @@
         millis(ini, "plan", "period_s", 10, 0.5),
         flag(ini, "plan", "rounds_on_events", true),
         millis(ini, "plan", "block_s", 60, 1),
-        millis(ini, "plan", "extension_s", 20, 1),
         number(ini, "plan", "implied_due", 4, 1),
         millis(ini, "part", "hold_s", 6, 1),
         flag(ini, "plan", "due_from_aims", true),
--- a/src/main/java/dev/windbend/part/Owner.java
+++ b/src/main/java/dev/windbend/part/Owner.java
@@ -910,11 +910,10 @@
             : sinceS > BOOT_LATE * t.bootS()
                 ? now + (long) (1000 * BOOT_PATIENCE * t.bootS())
                 : Math.max(m.rentedMs + (long) (1000 * t.bootS()), now + 1_000);
+    long block = policy.blockMs();
     // The block in which it went idle (or now, if it is busy) is paid to its end.
     long ref = m.idleSinceMs >= 0 ? m.idleSinceMs : now;
-    long past = Math.max(0, ref - m.rentedMs - policy.blockMs());
-    long more = (past + policy.extensionMs() - 1) / policy.extensionMs();
-    long paidUntil = m.rentedMs + policy.blockMs() + more * policy.extensionMs();
+    long blocks = Math.max(1, (Math.max(0, ref - m.rentedMs) + block - 1) / block);
     return new Snapshot.Room(
         t.index(),
         m.zone,
@@ -923,7 +922,7 @@
         new Snapshot.Size(c, g, r),
         ready,
         m.tasks.isEmpty(),
-        paidUntil,
+        m.rentedMs + blocks * block,
         m.spot ? t.spotPrice() : t.price(),
         t.fetchGbPerS(),
         m.images,
--- a/src/main/java/dev/windbend/part/Policy.java
+++ b/src/main/java/dev/windbend/part/Policy.java
@@ -5,7 +5,6 @@
     long periodMs,
     boolean roundsOnEvents,
     long blockMs,
-    long extensionMs,
     double impliedDue,
     long holdMs,
     boolean dueFromAims,
