--- a/src/main/java/dev/windbend/daemon/Operator.java
+++ b/src/main/java/dev/windbend/daemon/Operator.java
@@ -40,7 +40,7 @@
         flag(ini, "plan", "rounds_on_events", true),
         millis(ini, "plan", "block_s", 60, 1),
         number(ini, "plan", "implied_due", 4, 1),
-        millis(ini, "part", "hold_s", 6, 1),
+        millis(ini, "part", "hold_s", 4, 1),
         flag(ini, "plan", "due_from_aims", true),
         number(ini, "worker", "idle_hold", 0.7, 0));
   }
