--- a/src/main/java/dev/windbend/daemon/Main.java
+++ b/src/main/java/dev/windbend/daemon/Main.java
@@ -1,11 +1,13 @@
 package dev.windbend.daemon;
 
 import dev.windbend.part.Policy;
+import io.undertow.Undertow;
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.Locale;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -76,9 +78,9 @@
   }
 
   @Override
-  public Integer call() throws IOException {
-    Settings settings;
-    Policy policy;
+  public Integer call() throws IOException, InterruptedException {
+    final Settings settings;
+    final Policy policy;
     try {
       if (rehearse) {
         settings = Rehearsal.settings();
@@ -92,26 +94,48 @@
       System.err.println("windbend: " + e.getMessage());
       return CommandLine.ExitCode.USAGE;
     }
-    XnioWorker worker =
-        Xnio.getInstance()
-            .createWorker(
-                OptionMap.builder()
-                    .set(Options.WORKER_NAME, "windbend")
-                    .set(Options.WORKER_IO_THREADS, 1)
-                    .set(Options.WORKER_TASK_CORE_THREADS, 1)
-                    .set(Options.WORKER_TASK_MAX_THREADS, 1)
-                    .getMap());
-    XnioLoop loop = new XnioLoop(worker.getIoThread());
+    // All that reads files is done before the worker's threads run, and the rest of the start on
+    // the
+    // loop's thread while this one waits. Where the platform rewrites the places that make system
+    // calls often, two threads in the same one (libc's read) at that moment end the process.
     DefaultByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER, BUFFERS, 4);
+    Undertow.builder();
+    CountDownLatch started = new CountDownLatch(1);
+    OptionMap options =
+        OptionMap.builder()
+            .set(Options.WORKER_NAME, "windbend")
+            .set(Options.WORKER_IO_THREADS, 1)
+            .set(Options.WORKER_TASK_CORE_THREADS, 1)
+            .set(Options.WORKER_TASK_MAX_THREADS, 1)
+            .getMap();
+    XnioWorker worker = Xnio.getInstance().createWorker(options);
+    worker
+        .getIoThread()
+        .execute(
+            () -> {
+              try {
+                serve(settings, policy, worker, buffers);
+              } catch (RuntimeException e) {
+                System.err.println("windbend: cannot start: " + e);
+                System.exit(CommandLine.ExitCode.SOFTWARE);
+              }
+              started.countDown();
+            });
+    started.await();
+    return RUNNING;
+  }
+
+  private void serve(
+      Settings settings, Policy policy, XnioWorker worker, DefaultByteBufferPool buffers) {
+    XnioLoop loop = new XnioLoop(worker.getIoThread());
     UndertowWeb web = new UndertowWeb(loop, buffers);
     if (rehearse) {
-      Rehearsal.run(settings, policy, worker, buffers, loop, web);
-      return RUNNING;
+      Rehearsal.run(policy, worker, buffers, loop, web);
+      return;
     }
     Node node = new Node(settings, policy, loop, web);
     Server.listen(worker, buffers, settings.peerListen(), node::servePeer);
     Server.listen(worker, buffers, settings.clientListen(), node::serve);
     loop.after(0, node::start);
-    return RUNNING;
   }
 }
--- a/src/main/java/dev/windbend/daemon/Rehearsal.java
+++ b/src/main/java/dev/windbend/daemon/Rehearsal.java
@@ -62,12 +62,7 @@
   }
 
   static void run(
-      Settings ignored,
-      Policy policy,
-      XnioWorker worker,
-      ByteBufferPool buffers,
-      XnioLoop loop,
-      UndertowWeb web) {
+      Policy policy, XnioWorker worker, ByteBufferPool buffers, XnioLoop loop, UndertowWeb web) {
     InetSocketAddress standIn =
         Server.listen(worker, buffers, "127.0.0.1:0", (r, done) -> canned(loop, r, done));
     Settings settings;
--- a/src/main/java/dev/windbend/daemon/Settings.java
+++ b/src/main/java/dev/windbend/daemon/Settings.java
@@ -4,10 +4,8 @@
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.exc.MismatchedInputException;
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
-import java.io.ByteArrayOutputStream;
-import java.io.FileInputStream;
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 
@@ -74,28 +72,12 @@
 
   public static Settings read(Path file) throws Invalid {
     try {
-      return parse(new String(bytewise(file), StandardCharsets.UTF_8));
+      return parse(Files.readString(file));
     } catch (IOException e) {
       throw new Invalid("cannot read " + file + ": " + e.getMessage());
     }
   }
 
-  /**
-   * Reads the file a byte at a time, before there is a second thread. Where the platform rewrites
-   * the places that make system calls often, that must not happen while two threads are in the same
-   * place: twice in some thousand starts a process ended in libc's read, which the loop's thread
-   * and XNIO's accepting thread share. After these reads, it has been done.
-   */
-  private static byte[] bytewise(Path file) throws IOException {
-    ByteArrayOutputStream all = new ByteArrayOutputStream();
-    try (FileInputStream in = new FileInputStream(file.toFile())) {
-      for (int b = in.read(); b >= 0; b = in.read()) {
-        all.write(b);
-      }
-    }
-    return all.toByteArray();
-  }
-
   static Settings parse(String toml) throws Invalid {
     Settings s;
     try {
--- /dev/null
+++ b/src/test/java/dev/windbend/daemon/SettingsTest.java
@@ -0,0 +1,91 @@
+package dev.windbend.daemon;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import dev.windbend.part.Policy;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class SettingsTest {
+  private static final String GOOD =
+      """
+      host_name = "mast-0"
+      unknown = 7
+      client_listen = "10.0.0.1:8080"
+      peer_bind = "10.0.0.1:8081"
+      [services]
+      cloud = "10.2.0.2:8443"
+      state = "10.2.0.1:2379"
+      [facts]
+      size = 3
+      zones = ["a"]
+      [[facts.teams]]
+      name = "t"
+      cpus = 1.0
+      cpus_max = 2.0
+      [facts.workers]
+      report_s = 3.0
+      lease_s = 30.0
+      cancel_s = 50.0
+      [facts.state]
+      rps = 120.0
+      write_rps = 25.0
+      txn_ops = 8
+      [facts.cloud]
+      rps = 6.0
+      """;
+
+  @Test
+  void readsThePlatformsFileAndIgnoresWhatItDoesNotKnow() throws Settings.Invalid {
+    Settings s = Settings.parse(GOOD);
+    assertThat(s.node()).isEqualTo("mast-0");
+    assertThat(s.facts().teams().get(0).coresMost()).isEqualTo(2);
+    assertThat(s.peers()).isEmpty();
+  }
+
+  @ParameterizedTest(name = "{0} -> {1} names {2}")
+  @CsvSource(
+      delimiter = '|',
+      quoteCharacter = '`',
+      value = {
+        "host_name = \"mast-0\"||host_name",
+        "\"10.0.0.1:8080\"|\"10.0.0.1\"|client_listen",
+        "\"10.2.0.1:2379\"|\"10.2.0.1:99999\"|services.state",
+        "cpus_max = 2.0|cpus_max = 0.5|cpus of t",
+        "size = 3|size = \"three\"|size",
+        "report_s = 3.0|report_s = 0.0|report_s",
+        "[facts.cloud]|[facts.clouds]|facts.cloud",
+        "rps = 120.0|rps = = 1|not TOML",
+      })
+  void saysWhatIsWrong(String from, String to, String named) {
+    assertThat(GOOD).contains(from);
+    assertThatThrownBy(() -> Settings.parse(GOOD.replace(from, to == null ? "" : to)))
+        .isInstanceOf(Settings.Invalid.class)
+        .hasMessageContaining(named);
+  }
+
+  @Test
+  void operatorsMaySetTheDesignsNumbers() throws Settings.Invalid {
+    Policy p = Operator.parse("[plan]\nperiod_s = 5\nrounds_on_events = false\n");
+    assertThat(p.periodMs()).isEqualTo(5_000);
+    assertThat(p.roundsOnEvents()).isFalse();
+    assertThat(p.blockMs()).isEqualTo(Operator.defaults().blockMs());
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "[plan]\nperiod_s = soon",
+        "[plan]\nperiod_s = 0",
+        "[plan]\nrounds_on_events = 1",
+        "[part]\nhold_s = -3",
+      })
+  void operatorsMistakesAreNamed(String ini) {
+    assertThatThrownBy(() -> Operator.parse(ini))
+        .isInstanceOf(Settings.Invalid.class)
+        .hasMessageContaining("must be");
+  }
+}
--- /dev/null
+++ b/src/test/java/dev/windbend/overload/GateTest.java
@@ -0,0 +1,74 @@
+package dev.windbend.overload;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.windbend.daemon.io.Loop;
+import dev.windbend.daemon.io.Web;
+import java.util.ArrayDeque;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+
+class GateTest {
+  private long now;
+
+  private final Loop loop =
+      new Loop() {
+        @Override
+        public long nowMs() {
+          return now;
+        }
+
+        @Override
+        public long wallMs() {
+          return now;
+        }
+
+        @Override
+        public Timer after(long delayMs, Runnable task) {
+          throw new UnsupportedOperationException();
+        }
+      };
+  private final ArrayDeque<Consumer<Web.Answer>> open = new ArrayDeque<>();
+  private final Gate gate = new Gate(loop, (request, done) -> open.add(done));
+  private final Web.Request request = new Web.Request("GET", "/", Map.of(), new byte[0]);
+
+  @Test
+  void answersAtOnceWhatIsOverTheLimitAndSaysWhenToComeBack() {
+    int limit = gate.limit();
+    int[] refused = {0};
+    for (int i = 0; i < limit + 5; i++) {
+      gate.handle(
+          request,
+          a -> {
+            assertThat(a.retryAfterS()).isPositive();
+            refused[0]++;
+          });
+    }
+    assertThat(refused[0]).isEqualTo(5);
+    assertThat(open).hasSize(limit);
+  }
+
+  @Test
+  void theLimitFallsAsRequestsTakeLonger() {
+    for (int i = 0; i < 300; i++) {
+      serve(10);
+    }
+    int before = gate.limit();
+    for (int i = 0; i < 300; i++) {
+      serve(2_000);
+    }
+    assertThat(gate.limit()).isLessThan(before);
+  }
+
+  private void serve(long ms) {
+    int n = gate.limit();
+    for (int i = 0; i < n; i++) {
+      gate.handle(request, a -> {});
+    }
+    now += ms;
+    while (!open.isEmpty()) {
+      open.poll().accept(Web.Answer.bare(200));
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/dev/windbend/plan/PlannerTest.java
@@ -0,0 +1,298 @@
+package dev.windbend.plan;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.windbend.plan.Snapshot.Offer;
+import dev.windbend.plan.Snapshot.Room;
+import dev.windbend.plan.Snapshot.Running;
+import dev.windbend.plan.Snapshot.Size;
+import dev.windbend.plan.Snapshot.Team;
+import dev.windbend.plan.Snapshot.Work;
+import it.unimi.dsi.fastutil.ints.IntOpenHashSet;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The design's loop, step by step. One type of 8 cores, two zones, boots in 30 s. */
+class PlannerTest {
+  private static final long NOW = 1_000_000;
+  private static final Size WHOLE = new Size(8, 0, 32);
+
+  private final List<Work> works = new ArrayList<>();
+  private final List<Room> rooms = new ArrayList<>();
+  private final List<Offer> offers =
+      new ArrayList<>(
+          List.of(
+              new Offer(0, 0, true, WHOLE, 1, 30_000, 1),
+              new Offer(0, 0, false, WHOLE, 2, 30_000, 1)));
+  private double limit = 100;
+  private double used = 0;
+
+  private Wanted plan() {
+    return Planner.plan(
+        new Snapshot(
+            NOW,
+            10_000,
+            60_000,
+            3_000,
+            20,
+            List.of(new Team(50, 0, limit, 0, used, 0)),
+            works,
+            rooms,
+            offers));
+  }
+
+  private Work work(int rank, double cores, int waiting, long estimateS, long dueInS) {
+    Work w =
+        new Work(
+            0,
+            rank,
+            new Size(cores, 0, 1),
+            null,
+            -1,
+            false,
+            false,
+            true,
+            7,
+            1,
+            waiting,
+            waiting,
+            new int[2],
+            estimateS * 1000,
+            NOW + dueInS * 1000,
+            false,
+            0,
+            new IntOpenHashSet());
+    works.add(w);
+    return w;
+  }
+
+  private void room(int zone, boolean spot, double free, Running... running) {
+    rooms.add(
+        new Room(
+            0,
+            zone,
+            spot,
+            true,
+            new Size(free, 0, 32),
+            0,
+            running.length == 0 && free == 8,
+            NOW + 600_000,
+            spot ? 1 : 2,
+            1,
+            new IntOpenHashSet(new int[] {7}),
+            List.of(running)));
+  }
+
+  private static Running running(double cores, long endInS, int rank, long lostS) {
+    return new Running(NOW + endInS * 1000, new Size(cores, 0, 1), 0, rank, lostS * 1000);
+  }
+
+  @Test
+  void takesIdleRoomFirstAndRentsNothing() {
+    work(2, 4, 2, 30, 40);
+    room(0, true, 8);
+    Wanted w = plan();
+    assertThat(w.places()).hasSize(2);
+    assertThat(w.rentals()).isEmpty();
+  }
+
+  @Test
+  void prefersTheTighterFit() {
+    work(2, 2, 1, 30, 40);
+    room(0, true, 8);
+    room(0, true, 2, running(6, 10, 2, 5));
+    assertThat(plan().places()).containsExactly(new Wanted.Place(0, 1));
+  }
+
+  @ParameterizedTest(name = "estimate {0} s, due in {1} s: {2} rented")
+  @CsvSource({
+    // slack = due - estimate - boot of 30 s; waits while that exceeds estimate + period of 10 s
+    "20,81,0",
+    "20,80,1",
+    "20,40,1",
+    "100,240,1",
+    "100,241,0"
+  })
+  void waitsWhileTheSlackAllows(long estimate, long due, int rented) {
+    work(2, 4, 1, estimate, due);
+    assertThat(plan().rentals().stream().mapToInt(Wanted.Rental::count).sum()).isEqualTo(rented);
+  }
+
+  @ParameterizedTest(name = "free in {0} s, due in {1} s: {2} rented")
+  @CsvSource({"20,30,0", "29,30,0", "40,60,1", "40,61,0"})
+  void queuesBehindAMachineFreeSoonElseRents(long freeIn, long due, int rented) {
+    work(2, 8, 1, 20, due);
+    room(0, true, 0, running(8, freeIn, 2, 5));
+    assertThat(plan().rentals().stream().mapToInt(Wanted.Rental::count).sum()).isEqualTo(rented);
+  }
+
+  @Test
+  void holdsASoonFreeMachineForOneTaskOnly() {
+    work(2, 8, 2, 20, 30);
+    room(0, true, 0, running(8, 20, 2, 5));
+    assertThat(plan().rentals()).containsExactly(new Wanted.Rental(0, 1));
+  }
+
+  @Test
+  void packsRentedMachinesAndTakesTheCheapest() {
+    work(2, 4, 5, 20, 30);
+    assertThat(plan().rentals()).containsExactly(new Wanted.Rental(0, 3));
+  }
+
+  @Test
+  void rentsOrdinaryMachinesWhereCheapOnesAreRefused() {
+    offers.remove(0);
+    work(2, 4, 1, 20, 30);
+    assertThat(plan().rentals()).containsExactly(new Wanted.Rental(0, 1));
+  }
+
+  @Test
+  void keepsTheTeamsLimitWithWhatIsNotProvedGone() {
+    limit = 10;
+    used = 4;
+    work(2, 4, 3, 20, 30);
+    room(0, true, 8);
+    assertThat(plan().places()).hasSize(1);
+  }
+
+  @Test
+  void stopsLowerWorkOnlyIfItLosesLessThanItGains() {
+    work(1, 4, 1, 20, 60);
+    room(0, true, 0, running(4, 90, 2, 30), running(4, 90, 2, 5));
+    Wanted w = plan();
+    assertThat(w.stops()).containsExactly(new Wanted.Stop(0, 1));
+    assertThat(w.places()).containsExactly(new Wanted.Place(0, 0));
+  }
+
+  @ParameterizedTest(name = "rank {0}, loses {1} s, free in {2} s")
+  @CsvSource({"2,5,90", "1,30,90", "1,5,2"})
+  void stopsNothingOtherwise(int rank, long lost, long freeIn) {
+    work(rank, 8, 1, 20, 60);
+    room(0, true, 0, running(8, freeIn, 2, lost));
+    assertThat(plan().stops()).isEmpty();
+  }
+
+  @Test
+  void placesOnlyWhereTheJobAllows() {
+    Size s = new Size(1, 0, 1);
+    IntOpenHashSet none = new IntOpenHashSet();
+    long due = NOW + 30_000;
+    // zone 1 only; ordinary only; no type allowed; together with what is in zone 1
+    works.add(
+        new Work(
+            0, 2, s, null, 1, false, false, true, 7, 1, 1, 1, new int[2], 9, due, false, 0, none));
+    works.add(
+        new Work(
+            0,
+            2,
+            s,
+            null,
+            -1,
+            false,
+            false,
+            false,
+            7,
+            1,
+            1,
+            1,
+            new int[2],
+            9,
+            due,
+            false,
+            0,
+            none));
+    works.add(
+        new Work(
+            0,
+            2,
+            s,
+            new boolean[] {false},
+            -1,
+            false,
+            false,
+            true,
+            7,
+            1,
+            1,
+            1,
+            new int[2],
+            9,
+            due,
+            false,
+            0,
+            none));
+    works.add(
+        new Work(
+            0,
+            2,
+            s,
+            null,
+            -1,
+            true,
+            false,
+            true,
+            7,
+            1,
+            2,
+            1,
+            new int[] {0, 1},
+            9,
+            due,
+            false,
+            0,
+            none));
+    room(0, true, 8);
+    room(1, true, 8);
+    room(0, false, 8);
+    assertThat(plan().places())
+        .containsExactlyInAnyOrder(
+            new Wanted.Place(0, 1), new Wanted.Place(1, 2), new Wanted.Place(3, 1));
+  }
+
+  @Test
+  void spreadsAtMostHalfRoundedUpOverOneZone() {
+    works.add(
+        new Work(
+            0,
+            2,
+            new Size(1, 0, 1),
+            null,
+            -1,
+            false,
+            true,
+            true,
+            7,
+            1,
+            5,
+            5,
+            new int[2],
+            9_000,
+            NOW + 20_000,
+            false,
+            0,
+            new IntOpenHashSet()));
+    room(0, true, 8);
+    offers.clear();
+    assertThat(plan().places()).hasSize(3);
+  }
+
+  @Test
+  void givesBackWhatIsIdleAtTheEndOfItsBlock() {
+    room(0, true, 8);
+    rooms.add(
+        new Room(0, 0, true, true, WHOLE, 0, true, NOW - 1, 1, 1, new IntOpenHashSet(), List.of()));
+    Wanted w = plan();
+    assertThat(w.giveBack()).containsExactly(1);
+    assertThat(w.spare()).containsExactly(0, 1);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"0,100,false", "60,100,false", "61,150,false", "110,150,false", "111,150,true"})
+  void isDueAtTheNextLimitThatCanStillBeMet(double age, double due, boolean hopeless) {
+    assertThat(Deadlines.next(new double[] {100, 150}, age, 40))
+        .isEqualTo(new Deadlines(due, hopeless));
+  }
+}
