--- a/src/main/java/dev/windbend/plan/Planner.java
+++ b/src/main/java/dev/windbend/plan/Planner.java
@@ -309,10 +309,7 @@
     int best = -1;
     for (int i = 0; i < s.offers().size(); i++) {
       Offer o = s.offers().get(i);
-      // What is late in any case need not be dear as well.
-      boolean worth = o.spot() || !w.spot() || !w.hopeless();
-      if (worth
-          && o.size().holds(w.size())
+      if (o.size().holds(w.size())
           && allowed(w, o.type(), o.zone(), o.spot(), zones, together)
           && (best < 0 || o.pricePerH() < s.offers().get(best).pricePerH())) {
         best = i;
