--- a/src/main/java/dev/windbend/daemon/Node.java
+++ b/src/main/java/dev/windbend/daemon/Node.java
@@ -143,7 +143,6 @@
         size,
         f.workers().reportS(),
         f.workers().leaseS(),
-        f.workers().cancelS(),
         Math.max(1, f.cloud().listLagS()),
         f.cloud().rps(),
         new Facts.Aims(dueTimes, within));
--- a/src/main/java/dev/windbend/machine/Catalog.java
+++ b/src/main/java/dev/windbend/machine/Catalog.java
@@ -72,8 +72,4 @@
     int i = typeNames.find(name);
     return i < 0 ? null : types.get(i);
   }
-
-  public double longestBootS() {
-    return types.stream().mapToDouble(MachineType::bootS).max().orElse(0);
-  }
 }
--- a/src/main/java/dev/windbend/part/Facts.java
+++ b/src/main/java/dev/windbend/part/Facts.java
@@ -9,7 +9,6 @@
     int nodes,
     double reportS,
     double leaseS,
-    double cancelS,
     double listLagS,
     double cloudRps,
     Aims aims) {
--- a/src/main/java/dev/windbend/part/Owner.java
+++ b/src/main/java/dev/windbend/part/Owner.java
@@ -184,10 +184,6 @@
     return ready && !closed;
   }
 
-  public int part() {
-    return part;
-  }
-
   public int liveJobs() {
     return jobs.size();
   }
@@ -847,9 +843,7 @@
     List<Snapshot.Team> teams = new ArrayList<>();
     for (int i = 0; i < cores.length; i++) {
       Facts.TeamFact t = facts.teams().get(i);
-      teams.add(
-          new Snapshot.Team(
-              t.cores(), t.cards(), t.coresMost(), t.cardsMost(), cores[i], cards[i]));
+      teams.add(new Snapshot.Team(t.coresMost(), t.cardsMost(), cores[i], cards[i]));
     }
     Object2IntOpenHashMap<String> roomOf = new Object2IntOpenHashMap<>();
     for (int i = 0; i < machines.size(); i++) {
@@ -874,7 +868,6 @@
     return new Snapshot(
         now,
         policy.periodMs(),
-        policy.blockMs(),
         (long) (2_000 * facts.reportS()),
         most,
         teams,
@@ -885,22 +878,14 @@
 
   private Snapshot.Room room(Machine m, List<Placement> on, long now) {
     MachineType t = m.type;
-    double c = t.cores();
-    double g = t.cards();
-    double r = t.ram();
+    Snapshot.Size free = new Snapshot.Size(t.cores(), t.cards(), t.ram());
     List<Snapshot.Running> running = new ArrayList<>();
     for (Placement p : on) {
       Snapshot.Size size = size(p.job);
-      c -= size.cores();
-      g -= size.cards();
-      r -= size.ram();
+      free = free.minus(size);
       running.add(
           new Snapshot.Running(
-              expectedEnd(p, t, now),
-              size,
-              p.job.team,
-              p.job.spec.urgency().ordinal(),
-              lostMs(p, now)));
+              expectedEnd(p, t, now), size, p.job.spec.urgency().ordinal(), lostMs(p, now)));
     }
     boolean up = m.usable(now);
     long sinceS = (now - m.rentedMs) / 1000;
@@ -919,7 +904,7 @@
         m.zone,
         m.spot,
         up,
-        new Snapshot.Size(c, g, r),
+        free,
         ready,
         m.tasks.isEmpty(),
         m.rentedMs + blocks * block,
--- a/src/main/java/dev/windbend/plan/Planner.java
+++ b/src/main/java/dev/windbend/plan/Planner.java
@@ -84,24 +84,15 @@
       if (overLimit(w)) {
         return;
       }
-      Line idle = idleRoom(w, zones, together);
-      if (idle != null) {
-        idle.take(s.nowMs(), w.estimateMs() + fetchMs(w, idle), w.size());
-        idle.taken = true;
-        zones[idle.zone]++;
-        together = w.together() ? idle.zone : -1;
-        use(w);
-        places.add(new Wanted.Place(index, idle.index));
-        continue;
+      Line now = idleRoom(w, zones, together);
+      if (now == null) {
+        now = makeRoom(w, zones, together);
       }
-      Line cleared = makeRoom(w, zones, together);
-      if (cleared != null) {
-        cleared.take(s.nowMs(), w.estimateMs() + fetchMs(w, cleared), w.size());
-        cleared.taken = true;
-        zones[cleared.zone]++;
-        together = w.together() ? cleared.zone : -1;
-        use(w);
-        places.add(new Wanted.Place(index, cleared.index));
+      if (now != null) {
+        take(now, s.nowMs(), w);
+        zones[now.zone]++;
+        together = w.together() ? now.zone : -1;
+        places.add(new Wanted.Place(index, now.index));
         continue;
       }
       long boot = bootMs(w);
@@ -122,7 +113,6 @@
       }
       zones[line.zone]++;
       together = w.together() ? line.zone : -1;
-      use(w);
     }
   }
 
@@ -141,7 +131,9 @@
         || usedCards[w.team()] + w.size().cards() > t.mostCards() + 1e-6;
   }
 
-  private void use(Work w) {
+  /** The room is spoken for from then on, and counts for the team's limit at once. */
+  private void take(Line l, long atMs, Work w) {
+    l.take(atMs, w.estimateMs() + fetchMs(w, l), w.size());
     usedCores[w.team()] += w.size().cores();
     usedCards[w.team()] += w.size().cards();
   }
@@ -296,8 +288,7 @@
       }
     }
     if (best != null) {
-      best.take(bestAt, w.estimateMs() + fetchMs(w, best), w.size());
-      best.taken = true;
+      take(best, bestAt, w);
     }
     return best;
   }
@@ -321,7 +312,7 @@
     rentals++;
     rented[best]++;
     Line l = new Line(s.offers().get(best), s.nowMs());
-    l.take(s.nowMs() + s.offers().get(best).bootMs(), w.estimateMs() + fetchMs(w, l), w.size());
+    take(l, s.nowMs() + s.offers().get(best).bootMs(), w);
     lines.add(l);
     return l;
   }
@@ -365,7 +356,6 @@
       this.spot = o.spot();
       this.fetchGbPerS = o.fetchGbPerS();
       this.now = new Size(0, 0, 0);
-      this.taken = true;
       steps.add(new Step(nowMs + o.bootMs(), o.size()));
     }
 
@@ -390,17 +380,13 @@
     }
 
     private Size freeAt(long atMs) {
-      double c = now.cores();
-      double g = now.cards();
-      double m = now.ram();
+      Size free = now;
       for (Step r : steps) {
         if (r.atMs() <= atMs) {
-          c += r.size().cores();
-          g += r.size().cards();
-          m += r.size().ram();
+          free = free.plus(r.size());
         }
       }
-      return new Size(c, g, m);
+      return free;
     }
 
     long firstFit(long fromMs, long runMs, Size need) {
@@ -417,6 +403,7 @@
     }
 
     void take(long atMs, long runMs, Size need) {
+      taken = true;
       steps.add(new Step(atMs, new Size(-need.cores(), -need.cards(), -need.ram())));
       steps.add(new Step(atMs + Math.max(1, runMs), need));
     }
--- a/src/main/java/dev/windbend/plan/Snapshot.java
+++ b/src/main/java/dev/windbend/plan/Snapshot.java
@@ -7,7 +7,6 @@
 public record Snapshot(
     long nowMs,
     long periodMs,
-    long blockMs,
     long patienceMs,
     int mostRentals,
     List<Team> teams,
@@ -30,13 +29,7 @@
     }
   }
 
-  public record Team(
-      double guaranteedCores,
-      double guaranteedCards,
-      double mostCores,
-      double mostCards,
-      double usedCores,
-      double usedCards) {}
+  public record Team(double mostCores, double mostCards, double usedCores, double usedCards) {}
 
   /**
    * The waiting tasks of a job. {@code types}: allowed ones, null for any; {@code zone} -1: any.
@@ -80,7 +73,7 @@
    * A task on a machine: when it should end, and what stopping it now would lose. {@code lostMs}
    * -1: it is being stopped already.
    */
-  public record Running(long endMs, Size size, int team, int rank, long lostMs) {}
+  public record Running(long endMs, Size size, int rank, long lostMs) {}
 
   /** A kind of machine to rent now. */
   public record Offer(
--- a/src/main/java/dev/windbend/store/Draft.java
+++ b/src/main/java/dev/windbend/store/Draft.java
@@ -39,8 +39,4 @@
   public int size() {
     return changes.size();
   }
-
-  public int conditions() {
-    return conditions.size();
-  }
 }
--- a/src/test/java/dev/windbend/plan/PlannerTest.java
+++ b/src/test/java/dev/windbend/plan/PlannerTest.java
@@ -33,15 +33,7 @@
   private Wanted plan() {
     return Planner.plan(
         new Snapshot(
-            NOW,
-            10_000,
-            60_000,
-            3_000,
-            20,
-            List.of(new Team(50, 0, limit, 0, used, 0)),
-            works,
-            rooms,
-            offers));
+            NOW, 10_000, 3_000, 20, List.of(new Team(limit, 0, used, 0)), works, rooms, offers));
   }
 
   private Work work(int rank, double cores, int waiting, long estimateS, long dueInS) {
@@ -87,7 +79,7 @@
   }
 
   private static Running running(double cores, long endInS, int rank, long lostS) {
-    return new Running(NOW + endInS * 1000, new Size(cores, 0, 1), 0, rank, lostS * 1000);
+    return new Running(NOW + endInS * 1000, new Size(cores, 0, 1), rank, lostS * 1000);
   }
 
   @Test
