--- a/src/main/java/dev/windbend/daemon/Node.java
+++ b/src/main/java/dev/windbend/daemon/Node.java
@@ -7,8 +7,10 @@
 import dev.windbend.job.JobDoor;
 import dev.windbend.job.JobRecord;
 import dev.windbend.job.JobSpec;
+import dev.windbend.job.Progress;
 import dev.windbend.machine.Catalog;
 import dev.windbend.machine.CloudClient;
+import dev.windbend.machine.Directory;
 import dev.windbend.machine.MachineRecord;
 import dev.windbend.machine.MachineType;
 import dev.windbend.overload.Gate;
@@ -30,7 +32,6 @@
 import io.micrometer.core.instrument.Meter;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
-import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -46,7 +47,6 @@
 public final class Node implements Claims.Listener {
   private static final Logger LOG = LoggerFactory.getLogger(Node.class);
   private static final String EVERYTHING = "w/";
-  private static final int FORMER_KEPT = 2_000;
   private static final long STALE_MS = 3_000;
 
   private final Settings settings;
@@ -60,21 +60,13 @@
   private final Claims claims;
   private final Peers peers;
   private final Lending lending;
-  private final Facts facts;
   private final Gate gate;
+  private final Owner.Shared shared;
   private final Estimates estimates = new Estimates();
   private final Names images = new Names();
   private final Map<Integer, Owner> owners = new LinkedHashMap<>();
-  private final Object2IntOpenHashMap<String> partOfMachine = new Object2IntOpenHashMap<>();
-  private final Map<String, Boolean> former =
-      new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
-          return size() > FORMER_KEPT;
-        }
-      };
+  private final Directory directory = new Directory();
+  private final Progress progress = new Progress();
   private final MeterRegistry meters = new SimpleMeterRegistry();
   private final Map<Integer, Counter> answered = new HashMap<>();
 
@@ -106,12 +98,17 @@
     this.replica = new Replica(loop, store, EVERYTHING);
     this.layout = new Layout(f.teams().stream().map(Settings.Team::name).toList(), nodes);
     this.claims = new Claims(loop, store, replica, layout, settings.node(), policy.holdMs(), this);
-    this.peers = new Peers(loop, web, store, addresses);
+    this.peers = new Peers(loop, web, store, addresses, (long) (500 * f.workers().leaseS()));
     this.lending = new Lending(web, layout.parts(), claims::owner, peerAddresses, this::lend);
-    this.facts = facts(settings, size);
-    this.gate = new Gate(loop, new JobDoor(loop, store, this::judge)::handle);
-    partOfMachine.defaultReturnValue(-1);
+    Facts facts = facts(settings, size);
+    this.gate = new Gate(loop, new JobDoor(loop, store, replica, progress, this::judge)::handle);
+    replica.listen(directory::changed);
+    replica.listen(progress::changed);
     replica.listen(this::changed);
+    this.shared =
+        new Owner.Shared(
+            loop, store, cloud, replica, layout, catalog, directory, facts, policy, claims, peers,
+            estimates, images, lending);
     Gauge.builder("windbend.parts", owners, Map::size).register(meters);
     Gauge.builder("windbend.jobs.live", this, n -> n.sum(Owner::liveJobs)).register(meters);
     Gauge.builder("windbend.machines", this, n -> n.sum(Owner::machineCount)).register(meters);
@@ -145,6 +142,7 @@
         f.workers().leaseS(),
         Math.max(1, f.cloud().listLagS()),
         f.cloud().rps(),
+        (int) (1024 * f.state().valueKb()),
         new Facts.Aims(dueTimes, within));
   }
 
@@ -163,23 +161,7 @@
 
   @Override
   public void won(int part, long token) {
-    Owner o =
-        new Owner(
-            part,
-            token,
-            loop,
-            store,
-            cloud,
-            replica,
-            layout,
-            catalog,
-            facts,
-            policy,
-            claims,
-            estimates,
-            images,
-            peers::othersServed,
-            lending);
+    Owner o = new Owner(part, token, shared);
     owners.put(part, o);
     o.start();
   }
@@ -206,15 +188,8 @@
       }
     } else if (key.startsWith(MachineRecord.KEYS)) {
       String name = key.substring(MachineRecord.KEYS.length());
-      MachineRecord r = now == null ? null : Json.read(now.value(), MachineRecord.class);
-      if (r == null) {
-        partOfMachine.removeInt(name);
-        former.put(name, true);
-      } else {
-        partOfMachine.put(name, r.part());
-        for (Owner o : List.copyOf(owners.values())) {
-          o.machineChanged(name, now);
-        }
+      for (Owner o : List.copyOf(owners.values())) {
+        o.machineChanged(name, now);
       }
     }
   }
@@ -271,7 +246,7 @@
   private boolean up() {
     return replica.synced()
         && catalog.known()
-        && !(store.failingForMs() > STALE_MS && peers.othersServed());
+        && !(store.failingForMs() > STALE_MS && (peers.othersServed() || peers.alone()));
   }
 
   private Map<String, Double> metrics() {
@@ -319,7 +294,7 @@
       done.accept(Web.Answer.bare(400));
       return;
     }
-    int part = partOfMachine.getInt(r.machine());
+    int part = directory.partOf(r.machine());
     for (Owner o : owners.values()) {
       if (o.ready() && o.has(r.machine())) {
         o.report(r, done);
@@ -338,9 +313,8 @@
               : Web.Answer.of(421, new WorkerMessages.Elsewhere(owner)));
       return;
     }
-    if (part < 0 && !former.containsKey(r.machine()) && mine.adopt(r) && mine.has(r.machine())) {
-      mine.report(r, done);
-      return;
+    if (part < 0 && !directory.knew(r.machine())) {
+      mine.stray(r);
     }
     done.accept(Web.Answer.bare(503));
   }
--- /dev/null
+++ b/src/main/java/dev/windbend/job/Board.java
@@ -0,0 +1,93 @@
+package dev.windbend.job;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import dev.windbend.daemon.io.Json;
+import dev.windbend.store.Committer;
+import dev.windbend.store.Entry;
+import dev.windbend.store.Pages;
+import dev.windbend.store.Stored;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.ToIntFunction;
+
+/** The live jobs of one part, kept in step with their records. */
+public final class Board {
+  private final Map<String, Job> jobs = new LinkedHashMap<>();
+  private final ToIntFunction<String> teamHere;
+  private final Committer committer;
+  private final Pages pages;
+
+  /**
+   * @param teamHere the dense index of a team of this part, -1 for any other
+   */
+  public Board(ToIntFunction<String> teamHere, Committer committer, Pages pages) {
+    this.teamHere = teamHere;
+    this.committer = committer;
+    this.pages = pages;
+  }
+
+  public Collection<Job> all() {
+    return jobs.values();
+  }
+
+  public Job find(String uid) {
+    return jobs.get(uid);
+  }
+
+  /**
+   * Takes a job in, with what a former owner left of its tasks. Null if it is not of this part;
+   * else its placements are to be confirmed by their machines.
+   */
+  public Job take(Stored record, Map<String, JsonNode> left, long nowMs) {
+    JobRecord.Live r = Json.read(record.value(), JobRecord.Live.class);
+    int team = r == null || r.spec() == null ? -1 : teamHere.applyAsInt(r.spec().team());
+    if (team < 0) {
+      return null;
+    }
+    Job job = new Job(r, record.version(), team);
+    List<Entry> entries = job.entries();
+    for (int i = 0; !left.isEmpty() && i < entries.size(); i++) {
+      JsonNode value = left.get(entries.get(i).id());
+      JobRecord.Piece piece = value == null ? null : Json.read(value, JobRecord.Piece.class);
+      if (piece != null) {
+        job.restore(i, piece, nowMs);
+        pages.restored(entries.get(i));
+      }
+    }
+    jobs.put(r.spec().uid(), job);
+    return job;
+  }
+
+  /** Its tasks or its end have changed: the write follows. */
+  public void touched(Job job) {
+    if (job.over()) {
+      committer.touch(job.end());
+      return;
+    }
+    for (Entry e : job.entries()) {
+      if (e.dirty()) {
+        pages.touch(e);
+      }
+    }
+    committer.touch(pages);
+  }
+
+  /** Jobs whose end is written are not ours to keep. */
+  public List<Job> archived() {
+    List<Job> all = new ArrayList<>();
+    for (Job j : jobs.values()) {
+      if (j.archived()) {
+        all.add(j);
+      }
+    }
+    return all;
+  }
+
+  public void forget(Job job) {
+    jobs.remove(job.spec.uid());
+    job.entries().forEach(pages::drop);
+  }
+}
--- a/src/main/java/dev/windbend/job/Job.java
+++ b/src/main/java/dev/windbend/job/Job.java
@@ -2,10 +2,12 @@
 
 import dev.windbend.daemon.io.Json;
 import dev.windbend.store.Draft;
+import dev.windbend.store.Entry;
 import dev.windbend.store.Stored;
 import dev.windbend.store.Unit;
 import it.unimi.dsi.fastutil.ints.Int2LongOpenHashMap;
 import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
+import it.unimi.dsi.fastutil.longs.LongArrayList;
 import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import java.util.ArrayList;
 import java.util.BitSet;
@@ -17,7 +19,6 @@
   /** Tasks per record: even with every one placed elsewhere, a piece stays below 4 KiB. */
   static final int PIECE = 96;
 
-  private static final int INLINE_SPEC = 900;
   private static final long LAZY_MS = 1_500;
 
   public final JobSpec spec;
@@ -29,14 +30,17 @@
 
   public boolean cancelled;
   private long version;
-  private final boolean inline;
-  private final PieceUnit[] pieces;
+  private final PieceEntry[] pieces;
+  private final List<Entry> entries;
   private final EndUnit end = new EndUnit();
   private final BitSet done = new BitSet();
   private final BitSet waiting = new BitSet();
+  private int doneTotal;
+  private int waitingTotal;
   private final Int2ObjectOpenHashMap<Placement> placed = new Int2ObjectOpenHashMap<>();
   private final Int2LongOpenHashMap doneAt = new Int2LongOpenHashMap();
   private boolean archived;
+  private boolean begun;
 
   /** Zone of the first placement, for jobs whose tasks stay together. */
   public int zone = -1;
@@ -54,60 +58,70 @@
     this.cancelled = record.cancelled();
     this.version = version;
     this.team = team;
-    this.inline = spec.tasks() <= PIECE && Json.write(spec).length <= INLINE_SPEC;
-    this.pieces = new PieceUnit[(spec.tasks() + PIECE - 1) / PIECE];
+    this.pieces = new PieceEntry[(spec.tasks() + PIECE - 1) / PIECE];
     for (int i = 0; i < pieces.length; i++) {
-      pieces[i] = new PieceUnit(i);
+      pieces[i] = new PieceEntry(i);
     }
+    this.entries = List.of(pieces);
     waiting.set(0, spec.tasks());
+    waitingTotal = spec.tasks();
   }
 
-  public static String pieceKey(String uid, int index) {
-    return JobRecord.PIECES + uid + "/" + index;
+  private void setWaiting(int task, boolean is) {
+    if (waiting.get(task) != is) {
+      waiting.set(task, is);
+      waitingTotal += is ? 1 : -1;
+    }
   }
 
-  /** Takes over what the records say; placements come back for the machines to confirm. */
-  public List<Placement> restore(int index, JobRecord.Piece record, long version, long nowMs) {
-    List<Placement> found = new ArrayList<>();
-    PieceUnit p = pieces[index];
-    p.version = version;
-    if (record == null) {
-      return found;
+  private void setDone(int task) {
+    if (!done.get(task)) {
+      done.set(task);
+      doneTotal++;
     }
+    setWaiting(task, false);
+  }
+
+  static String pieceId(String uid, int index) {
+    return uid + "/" + index;
+  }
+
+  /** Takes over what the records say; placements come back for the machines to confirm. */
+  List<Placement> restore(int index, JobRecord.Piece record, long nowMs) {
+    List<Placement> all = new ArrayList<>();
+    PieceEntry p = pieces[index];
     p.nextAttempt = record.nextAttempt();
     if (record.done() != null) {
       BitSet d = BitSet.valueOf(record.done());
       for (int i = d.nextSetBit(0); i >= 0; i = d.nextSetBit(i + 1)) {
-        done.set(index * PIECE + i);
-        waiting.clear(index * PIECE + i);
+        setDone(index * PIECE + i);
       }
     }
     long[] at = record.placed() == null ? new long[0] : record.placed();
-    for (int i = 0; i + 2 < at.length; i += 3) {
-      int task = index * PIECE + (int) at[i];
-      String machine = record.machines().get((int) at[i + 2]);
-      Placement pl = new Placement(this, task, at[i + 1], machine, 0, true, nowMs);
-      placed.put(task, pl);
-      waiting.clear(task);
-      found.add(pl);
-    }
-    return found;
-  }
-
-  public boolean inline() {
-    return inline;
+    for (int i = 0; i + JobRecord.Piece.RUN <= at.length; i += JobRecord.Piece.RUN) {
+      String machine = record.machines().get((int) at[i + 3]);
+      for (int k = 0; k < at[i + 1]; k++) {
+        int task = index * PIECE + (int) at[i] + k;
+        Placement pl = new Placement(this, task, at[i + 2], machine, 0, true, nowMs);
+        placed.put(task, pl);
+        setWaiting(task, false);
+        all.add(pl);
+      }
+    }
+    return all;
   }
 
-  public int pieceCount() {
-    return pieces.length;
+  /** What the owner keeps of its tasks, in pages. */
+  public List<Entry> entries() {
+    return entries;
   }
 
   public int waitingCount() {
-    return cancelled ? 0 : waiting.cardinality();
+    return cancelled ? 0 : waitingTotal;
   }
 
   public int doneCount() {
-    return done.cardinality();
+    return doneTotal;
   }
 
   public Collection<Placement> placements() {
@@ -123,7 +137,7 @@
   }
 
   public boolean allDone() {
-    return done.cardinality() == spec.tasks();
+    return doneTotal == spec.tasks();
   }
 
   /** Nothing of it is left to do or to prove gone. */
@@ -139,13 +153,18 @@
     return waiting.nextSetBit(0);
   }
 
-  public Placement place(int task, String machine, long nowMs) {
-    PieceUnit p = pieces[task / PIECE];
-    p.nextAttempt++;
+  /** One attempt number serves all tasks of a piece that a round places: records stay short. */
+  public Placement place(int task, String machine, long nowMs, long round) {
+    PieceEntry p = pieces[task / PIECE];
+    if (p.lastRound != round) {
+      p.lastRound = round;
+      p.nextAttempt++;
+    }
     p.touched(nowMs, true);
     Placement pl = new Placement(this, task, p.nextAttempt, machine, p.changes, false, nowMs);
     placed.put(task, pl);
-    waiting.clear(task);
+    setWaiting(task, false);
+    begun = true;
     return pl;
   }
 
@@ -162,7 +181,7 @@
     if (placed.get(p.task) == p) {
       placed.remove(p.task);
       if (!done.get(p.task)) {
-        waiting.set(p.task);
+        setWaiting(p.task, true);
       }
       pieces[p.task / PIECE].touched(nowMs, false);
     }
@@ -170,8 +189,7 @@
 
   public void complete(int task, long nowMs) {
     if (!done.get(task)) {
-      done.set(task);
-      waiting.clear(task);
+      setDone(task);
       pieces[task / PIECE].touched(nowMs, false);
       doneAt.put(task, pieces[task / PIECE].changes);
     }
@@ -182,18 +200,14 @@
     return archived || done.get(task) && pieces[task / PIECE].written >= doneAt.get(task);
   }
 
-  /** What the owner must write for this job: its pieces, then its end. */
-  public List<Unit> units() {
-    if (over()) {
-      return List.of(end);
-    }
-    List<Unit> all = new ArrayList<>();
-    for (PieceUnit p : pieces) {
-      if (p.dirty()) {
-        all.add(p);
-      }
-    }
-    return all;
+  /** The move to its final record. */
+  public Unit end() {
+    return end;
+  }
+
+  /** Begun: some task has been placed, or is done. */
+  public boolean begun() {
+    return begun || !placed.isEmpty() || doneTotal > 0;
   }
 
   /** A change of the live record by anybody: a cancellation, or our own write. */
@@ -213,45 +227,48 @@
     int to = Math.min(spec.tasks(), from + PIECE);
     Object2IntOpenHashMap<String> names = new Object2IntOpenHashMap<>();
     List<String> machines = new ArrayList<>();
-    List<Placement> here = new ArrayList<>();
+    LongArrayList runs = new LongArrayList();
+    Placement last = null;
     for (int t = from; t < to; t++) {
-      Placement p = placed.get(t);
-      if (p != null && !done.get(t)) {
-        here.add(p);
-      }
-    }
-    long[] at = new long[here.size() * 3];
-    int i = 0;
-    for (Placement p : here) {
-      if (!names.containsKey(p.machine)) {
-        names.put(p.machine, machines.size());
-        machines.add(p.machine);
+      Placement p = done.get(t) ? null : placed.get(t);
+      if (p != null
+          && last != null
+          && last.attempt == p.attempt
+          && last.machine.equals(p.machine)) {
+        int count = runs.size() - JobRecord.Piece.RUN + 1;
+        runs.set(count, runs.getLong(count) + 1);
+      } else if (p != null) {
+        if (!names.containsKey(p.machine)) {
+          names.put(p.machine, machines.size());
+          machines.add(p.machine);
+        }
+        runs.add(t - from);
+        runs.add(1);
+        runs.add(p.attempt);
+        runs.add(names.getInt(p.machine));
       }
-      at[i++] = p.task - from;
-      at[i++] = p.attempt;
-      at[i++] = names.getInt(p.machine);
+      last = p;
     }
     return new JobRecord.Piece(
         pieces[index].nextAttempt,
         done.get(from, to).toByteArray(),
         machines.isEmpty() ? null : machines,
-        at.length == 0 ? null : at);
+        runs.isEmpty() ? null : runs.toLongArray());
   }
 
-  private final class PieceUnit implements Unit {
+  /** Some of the tasks, as kept in a page. */
+  private final class PieceEntry implements Entry {
     private final int index;
-    private final String pieceKey;
-    private long version;
     private long nextAttempt;
+    private long lastRound = -1;
     private long changes;
     private long written;
     private long inFlight = -1;
     private long dirtySinceMs;
     private boolean hurry;
 
-    PieceUnit(int index) {
+    PieceEntry(int index) {
       this.index = index;
-      this.pieceKey = pieceKey(spec.uid(), index);
     }
 
     void touched(long nowMs, boolean soon) {
@@ -262,9 +279,14 @@
       hurry |= soon;
     }
 
+    @Override
+    public String id() {
+      return pieceId(spec.uid(), index);
+    }
+
     @Override
     public boolean dirty() {
-      return inFlight < 0 && changes > written && !over() && !archived;
+      return inFlight < 0 && changes > written && !Job.this.over() && !archived;
     }
 
     @Override
@@ -273,34 +295,27 @@
     }
 
     @Override
-    public int cost() {
-      return 1;
+    public boolean over() {
+      return archived;
     }
 
     @Override
-    public void fill(Draft draft) {
+    public Object snapshot() {
+      return Job.this.snapshot(index);
+    }
+
+    @Override
+    public void begin(Draft draft) {
       inFlight = changes;
       hurry = false;
-      draft.when(key, Job.this.version);
-      JobRecord.Piece now = snapshot(index);
-      if (inline) {
-        draft.put(key, new JobRecord.Live(spec, submittedWallMs, cancelled, now));
-      } else {
-        // Without this a late write of an older state could land after a newer one.
-        draft.when(pieceKey, version);
-        draft.put(pieceKey, now);
-      }
+      // Cancelled or ended meanwhile: then nothing of it may start.
+      draft.when(key, version);
     }
 
     @Override
-    public void written(long revision) {
+    public void written() {
       written = inFlight;
       inFlight = -1;
-      if (inline) {
-        Job.this.version = Math.max(Job.this.version, revision);
-      } else {
-        version = revision;
-      }
     }
 
     @Override
@@ -310,17 +325,13 @@
     }
 
     @Override
-    public boolean owns(String k) {
-      return k.equals(key) || k.equals(pieceKey);
+    public boolean dependsOn(String k) {
+      return k.equals(key);
     }
 
     @Override
-    public void reread(String k, Stored now) {
-      if (k.equals(pieceKey)) {
-        version = now == null ? 0 : now.version();
-      } else {
-        rereadMain(now);
-      }
+    public void reread(Stored now) {
+      rereadMain(now);
     }
   }
 
--- a/src/main/java/dev/windbend/job/JobDoor.java
+++ b/src/main/java/dev/windbend/job/JobDoor.java
@@ -1,11 +1,11 @@
 package dev.windbend.job;
 
-import dev.windbend.daemon.io.Json;
 import dev.windbend.daemon.io.Loop;
 import dev.windbend.daemon.io.Web;
 import dev.windbend.store.Draft;
+import dev.windbend.store.Outcome;
+import dev.windbend.store.Replica;
 import dev.windbend.store.StoreClient;
-import dev.windbend.store.Stored;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -22,22 +22,14 @@
 public final class JobDoor {
   private static final Logger LOG = LoggerFactory.getLogger(JobDoor.class);
   private static final String JOBS = "/v1/jobs";
-  private static final int ENDED_KEPT = 5_000;
   private static final int CANCEL_TRIES = 8;
 
   private final Loop loop;
   private final StoreClient store;
   private final Fitness fitness;
   private final ArrayDeque<Accepting> accepting = new ArrayDeque<>();
-  private final Map<String, JobRecord.Ended> ended =
-      new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, JobRecord.Ended> eldest) {
-          return size() > ENDED_KEPT;
-        }
-      };
+  private final Lookup lookup;
+  private final Progress progress;
   private boolean writing;
 
   /** Says whether a job could ever run; null if that can't be told yet. */
@@ -50,12 +42,12 @@
 
   private record Accepting(JobRecord.Live record, Consumer<Web.Answer> done) {}
 
-  /** What the state service surely knows of a job. Both null: no such job. */
-  private record Found(boolean sure, Stored live, JobRecord.Ended over) {}
-
-  public JobDoor(Loop loop, StoreClient store, Fitness fitness) {
+  public JobDoor(
+      Loop loop, StoreClient store, Replica replica, Progress progress, Fitness fitness) {
     this.loop = loop;
     this.store = store;
+    this.lookup = new Lookup(loop, store, replica);
+    this.progress = progress;
     this.fitness = fitness;
   }
 
@@ -103,7 +95,7 @@
     }
     if (verdict.never() != null) {
       // It may have been accepted when the machine types or teams were others: then it stands.
-      find(
+      lookup.find(
           spec.uid(),
           found -> {
             if (!found.sure()) {
@@ -116,7 +108,7 @@
           });
       return;
     }
-    accepting.add(new Accepting(new JobRecord.Live(spec, loop.wallMs(), false, null), done));
+    accepting.add(new Accepting(new JobRecord.Live(spec, loop.wallMs(), false), done));
     write();
   }
 
@@ -139,7 +131,7 @@
       group.add(a);
     }
     writing = true;
-    store.commit(
+    store.commitFirst(
         draft,
         outcome -> {
           writing = false;
@@ -177,7 +169,7 @@
       done.accept(Web.Answer.bare(404));
       return;
     }
-    find(uid, found -> done.accept(status(uid, found)));
+    lookup.find(uid, found -> done.accept(status(uid, found)));
   }
 
   private void cancel(String uid, int tries, Consumer<Web.Answer> done) {
@@ -185,19 +177,18 @@
       done.accept(Web.Answer.bare(404));
       return;
     }
-    find(
+    lookup.find(
         uid,
         found -> {
-          JobRecord.Live live = live(found);
+          JobRecord.Live live = found.record();
           if (live == null || live.cancelled()) {
             done.accept(status(uid, found));
             return;
           }
           String key = JobRecord.LIVE + uid;
           Draft draft = new Draft().when(key, found.live().version());
-          draft.put(
-              key, new JobRecord.Live(live.spec(), live.submittedWallMs(), true, live.piece()));
-          store.commit(
+          draft.put(key, new JobRecord.Live(live.spec(), live.submittedWallMs(), true));
+          store.commitFirst(
               draft,
               outcome -> {
                 if (outcome.done()) {
@@ -205,8 +196,7 @@
                   done.accept(
                       Web.Answer.of(
                           200, new UserMessages.Status(uid, Statuses.CANCELLED, null, null)));
-                } else if (outcome.kind() == dev.windbend.store.Outcome.Kind.CONFLICT
-                    && tries > 1) {
+                } else if (outcome.kind() == Outcome.Kind.CONFLICT && tries > 1) {
                   cancel(uid, tries - 1, done);
                 } else {
                   done.accept(Web.Answer.later(1));
@@ -215,42 +205,7 @@
         });
   }
 
-  private static JobRecord.Live live(Found found) {
-    return found.sure() && found.live() != null
-        ? Json.read(found.live().value(), JobRecord.Live.class)
-        : null;
-  }
-
-  /** Reads the live key, then the final one: jobs move only that way, so one of both shows it. */
-  private void find(String uid, Consumer<Found> done) {
-    JobRecord.Ended known = ended.get(uid);
-    if (known != null) {
-      done.accept(new Found(true, null, known));
-      return;
-    }
-    store.get(
-        JobRecord.LIVE + uid,
-        got -> {
-          if (!got.sure() || got.status() == 200) {
-            done.accept(new Found(got.sure(), got.stored(), null));
-            return;
-          }
-          store.get(
-              JobRecord.ENDED + uid,
-              last -> {
-                JobRecord.Ended over =
-                    last.status() == 200
-                        ? Json.read(last.stored().value(), JobRecord.Ended.class)
-                        : null;
-                if (over != null) {
-                  ended.put(uid, over);
-                }
-                done.accept(new Found(last.status() == 404 || over != null, null, over));
-              });
-        });
-  }
-
-  private static Web.Answer status(String uid, Found found) {
+  private Web.Answer status(String uid, Lookup.Found found) {
     if (!found.sure()) {
       return Web.Answer.later(1);
     }
@@ -261,22 +216,16 @@
     if (found.live() == null) {
       return Web.Answer.bare(404);
     }
-    JobRecord.Live live = live(found);
+    JobRecord.Live live = found.record();
     if (live == null) {
       return Web.Answer.later(1);
     }
-    int done = 0;
-    int running = 0;
-    if (live.piece() != null) {
-      done =
-          live.piece().done() == null
-              ? 0
-              : java.util.BitSet.valueOf(live.piece().done()).cardinality();
-      running = live.piece().placed() == null ? 0 : live.piece().placed().length / 3;
-    }
+    Progress.Tasks tasks = progress.of(uid);
     String status =
-        live.cancelled() ? Statuses.CANCELLED : running > 0 ? Statuses.RUNNING : Statuses.PENDING;
-    return Web.Answer.of(200, new UserMessages.Status(uid, status, done, running));
+        live.cancelled()
+            ? Statuses.CANCELLED
+            : tasks.running() > 0 ? Statuses.RUNNING : Statuses.PENDING;
+    return Web.Answer.of(200, new UserMessages.Status(uid, status, tasks.done(), tasks.running()));
   }
 
   private static Web.Answer problem(int status, String why) {
--- a/src/main/java/dev/windbend/machine/Fleet.java
+++ b/src/main/java/dev/windbend/machine/Fleet.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.function.Predicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -80,9 +81,26 @@
     return machines.get(name);
   }
 
-  /** A rental found in the state service: it is asked again under its name. */
-  public void restore(String name, HireRecord record, long version) {
-    hire(name, record, version);
+  /**
+   * A rental found in the state service. Without an answer it is asked again under its name, else
+   * its machines are this part's but for those that have records of their own.
+   */
+  public void restore(
+      String name, HireRecord record, long version, Predicate<String> hasOwnRecord) {
+    Hire h = hire(name, record, version);
+    if (h == null || record.open()) {
+      return;
+    }
+    for (String n : record.machines()) {
+      if (!machines.containsKey(n) && !hasOwnRecord.test(n)) {
+        Machine m = add(n, h.type, record.zone(), record.spot(), part, h, 0, loop.nowMs());
+        m.listed();
+        h.machines.add(m);
+      }
+    }
+    if (h.machines.size() < record.machines().size()) {
+      afterWrite();
+    }
   }
 
   /** A machine found in the state service, or given to this part by another. */
@@ -91,7 +109,7 @@
     if (machines.containsKey(name) || type == null || version <= left.getLong(name)) {
       return false;
     }
-    add(name, type, record.zone(), record.spot(), version, loop.nowMs());
+    add(name, type, record.zone(), record.spot(), part, null, version, loop.nowMs());
     return true;
   }
 
@@ -108,7 +126,14 @@
   }
 
   private Machine add(
-      String name, MachineType type, String zone, boolean spot, long version, long rentedMs) {
+      String name,
+      MachineType type,
+      String zone,
+      boolean spot,
+      int to,
+      Hire hire,
+      long version,
+      long rentedMs) {
     Machine m =
         new Machine(
             name,
@@ -117,9 +142,11 @@
             zone,
             spot,
             part,
+            hire,
             version,
             rentedMs,
             loop.nowMs());
+    m.moveTo(to);
     machines.put(name, m);
     if (m.dirty()) {
       host.touch(m);
@@ -157,7 +184,7 @@
           hire(
               name,
               new HireRecord(
-                  type.name(), catalog.zones.name(zone), spot, Math.min(left, HIRE_BATCH)),
+                  type.name(), catalog.zones.name(zone), spot, Math.min(left, HIRE_BATCH), null),
               0);
       host.touch(h);
       LOG.info(
@@ -170,12 +197,12 @@
     }
   }
 
-  /** Takes in a machine that nobody rented under a known name. */
-  public void adopt(String name, String typeName, String zoneName, boolean spot) {
-    MachineType type = catalog.find(typeName);
+  /** Takes in, for some part, a machine that nobody rented under a known name. */
+  void adopt(String name, Stray stray, int to) {
+    MachineType type = catalog.find(stray.type());
     if (!machines.containsKey(name) && type != null) {
-      LOG.info("adopting {}", name);
-      add(name, type, zoneName, spot, 0, loop.nowMs());
+      LOG.info("adopting {} for part {}", name, to);
+      add(name, type, stray.zone(), stray.spot(), to, null, 0, loop.nowMs());
     }
   }
 
@@ -188,19 +215,28 @@
 
   /** Takes note of what has been written: machines given away, rentals that are complete. */
   public void afterWrite() {
+    long now = loop.nowMs();
     for (Machine m : List.copyOf(machines.values())) {
       if (m.moved()) {
-        machines.remove(m.name);
-        left.put(m.name, m.version());
+        leave(m, now);
       }
     }
     for (Hire h : List.copyOf(hires.values())) {
-      if (h.answered && h.machines.stream().allMatch(m -> m.version() > 0 || m.gone)) {
+      if (h.answered && h.machines.isEmpty()) {
         drop(h);
       }
     }
   }
 
+  private void leave(Machine m, long now) {
+    machines.remove(m.name);
+    left.put(m.name, m.version());
+    if (m.hire != null) {
+      m.hire.without(m, now);
+      host.touch(m.hire);
+    }
+  }
+
   public void giveBack(Machine m, String why) {
     if (!m.returning && !m.gone) {
       LOG.info("returning {}: {}", m.name, why);
@@ -248,9 +284,10 @@
   private void returned(Machine m) {
     leaving.remove(m);
     m.gone = true;
-    machines.remove(m.name);
-    left.put(m.name, m.version());
-    host.touch(m);
+    leave(m, loop.nowMs());
+    if (m.dirty()) {
+      host.touch(m);
+    }
     host.gone(m);
   }
 
@@ -266,12 +303,14 @@
           switch (how) {
             case GOT -> {
               h.asking = false;
-              h.answered = true;
               for (String n : names) {
-                if (!machines.containsKey(n)) {
-                  h.machines.add(add(n, h.type, h.asked.zone(), h.asked.spot(), 0, h.madeMs));
+                if (!machines.containsKey(n) && !left.containsKey(n)) {
+                  h.machines.add(
+                      add(n, h.type, h.asked.zone(), h.asked.spot(), part, h, 0, h.madeMs));
                 }
               }
+              h.answered(loop.nowMs());
+              host.touch(h);
               if (names.size() < h.asked.count()) {
                 refuse(h);
               }
@@ -302,15 +341,15 @@
 
   private void drop(Hire h) {
     hires.remove(h.name);
-    h.finish();
+    h.finish(loop.nowMs());
     host.touch(h);
   }
 
   /**
-   * Looks through the cloud's list for failed machines of ours and, if this part looks after
-   * strays, for machines that no part knows. The list lags, so strays must stay unknown for long.
+   * Looks through the cloud's list for failed machines of ours, and for machines that no part
+   * knows. The list lags, so strays must stay unknown for long.
    */
-  public void check(long strayMs, boolean strays, Predicate<String> known) {
+  public void check(long strayMs, Predicate<String> known, BiConsumer<String, Stray> found) {
     cloud.list(
         listed -> {
           if (closed || listed == null) {
@@ -323,11 +362,11 @@
               if ("failed".equals(l.status())) {
                 giveBack(m, "failed");
               }
-            } else if (strays && !known.test(l.name())) {
+            } else if (!known.test(l.name())) {
               now.add(l.name());
               long since = unknownSince.computeIfAbsent(l.name(), k -> loop.nowMs());
               if (loop.nowMs() - since >= strayMs) {
-                adopt(l.name(), l.type(), l.zone(), l.spot());
+                found.accept(l.name(), new Stray(l.type(), l.zone(), l.spot()));
               }
             }
           }
--- a/src/main/java/dev/windbend/machine/Hire.java
+++ b/src/main/java/dev/windbend/machine/Hire.java
@@ -6,20 +6,33 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** One rental: recorded before the cloud is asked, until each of its machines has a record. */
+/**
+ * One rental, kept in one record: before the cloud is asked, with its machines once it has
+ * answered, and until none of them is left with this part. A record for each machine would take
+ * most of the changes that the state service allows.
+ */
 final class Hire implements Unit {
+  private static final long LAZY_MS = 8_000;
+
   final String name;
   final String key;
   final MachineType type;
   final int zone;
   final HireRecord asked;
   final long madeMs;
+
+  /** Those still with this part. */
   final List<Machine> machines = new ArrayList<>();
+
   boolean asking;
   boolean answered;
   private boolean over;
   private long version;
-  private boolean inFlight;
+  private long changes;
+  private long written;
+  private long writing = -1;
+  private long sinceMs;
+  private boolean hurry;
   private boolean removed;
 
   /** {@code version} 0: not stored yet. */
@@ -38,25 +51,52 @@
     this.zone = zone;
     this.version = version;
     this.madeMs = nowMs;
+    this.answered = !asked.open();
+    if (version == 0) {
+      changed(nowMs, true);
+    }
+  }
+
+  private void changed(long nowMs, boolean soon) {
+    if (changes == written) {
+      sinceMs = nowMs;
+    }
+    changes++;
+    hurry |= soon;
   }
 
   boolean recorded() {
     return version > 0;
   }
 
+  /** The cloud has answered; the machines may be used once this is written. */
+  void answered(long nowMs) {
+    answered = true;
+    changed(nowMs, true);
+  }
+
+  /** Returned, or another part's: the record may name it a while longer. */
+  void without(Machine m, long nowMs) {
+    if (machines.remove(m)) {
+      changed(nowMs, false);
+    }
+  }
+
   /** Nothing depends on the record any more. */
-  void finish() {
+  void finish(long nowMs) {
     over = true;
+    // While it stands without an answer, nobody may adopt a machine of its kind.
+    changed(nowMs, !answered);
   }
 
   @Override
   public boolean dirty() {
-    return !inFlight && !removed && (over || version == 0);
+    return writing < 0 && !removed && changes > written;
   }
 
   @Override
   public boolean urgent(long nowMs) {
-    return !over;
+    return hurry || nowMs - sinceMs >= LAZY_MS;
   }
 
   @Override
@@ -66,25 +106,37 @@
 
   @Override
   public void fill(Draft draft) {
-    inFlight = true;
+    writing = changes;
+    hurry = false;
     draft.when(key, version);
     if (over) {
       draft.delete(key);
     } else {
-      draft.put(key, asked);
+      List<String> names = answered ? machines.stream().map(m -> m.name).toList() : null;
+      draft.put(
+          key, new HireRecord(asked.type(), asked.zone(), asked.spot(), asked.count(), names));
+      machines.forEach(m -> m.listing = true);
     }
   }
 
   @Override
   public void written(long revision) {
-    inFlight = false;
     version = revision;
+    written = writing;
+    writing = -1;
     removed = over;
+    for (Machine m : machines) {
+      if (m.listing) {
+        m.listed();
+      }
+    }
   }
 
   @Override
   public void unwritten() {
-    inFlight = false;
+    writing = -1;
+    hurry = true;
+    machines.forEach(m -> m.listing = false);
   }
 
   @Override
--- a/src/main/java/dev/windbend/machine/Machine.java
+++ b/src/main/java/dev/windbend/machine/Machine.java
@@ -11,7 +11,10 @@
 import java.util.Map;
 import java.util.Set;
 
-/** A machine of the part, as its owner knows it, with the record that says whose it is. */
+/**
+ * A machine of the part, as its owner knows it. Its rental's record says whose it is; one that was
+ * adopted or has changed parts has a record of its own, which goes before that.
+ */
 public final class Machine implements Unit {
   public final String name;
   public final MachineType type;
@@ -59,6 +62,15 @@
   /** Start refused for lack of room: nothing new before this time. */
   public long fullUntilMs;
 
+  /** A report of it waits for its answer, so it can be told something at once. */
+  public boolean listening;
+
+  /** We have answered it under our token. */
+  public boolean answered;
+
+  /** Reports one after the other that show no effect of what we answered. */
+  public int unheard;
+
   /** Goes to this part once it is empty, -1: stays. */
   public int promisedTo = -1;
 
@@ -69,7 +81,15 @@
   private boolean inFlight;
   private boolean removed;
 
-  /** {@code version} 0: not stored yet. */
+  /** The rental that it came with and whose record names it; null: it has a record of its own. */
+  final Hire hire;
+
+  /** Its rental's record is being written with its name. */
+  boolean listing;
+
+  /**
+   * @param version of its own record, 0: none
+   */
   Machine(
       String name,
       MachineType type,
@@ -77,9 +97,11 @@
       String zoneName,
       boolean spot,
       int part,
+      Hire hire,
       long version,
       long rentedMs,
       long nowMs) {
+    this.hire = hire;
     this.name = name;
     this.key = MachineRecord.KEYS + name;
     this.type = type;
@@ -118,6 +140,14 @@
     wantedPart = to;
   }
 
+  /** Its rental's record names it. */
+  void listed() {
+    listing = false;
+    if (version == 0) {
+      recordedPart = part;
+    }
+  }
+
   /** Another part's by now: its owner has the same token as we would use, so we must be silent. */
   public boolean moved() {
     return recordedPart >= 0 && recordedPart != part;
@@ -125,7 +155,13 @@
 
   @Override
   public boolean dirty() {
-    return !inFlight && !removed && (gone ? recordedPart >= 0 : wantedPart != recordedPart);
+    if (inFlight || removed) {
+      return false;
+    }
+    if (gone) {
+      return version > 0;
+    }
+    return wantedPart != recordedPart && (hire == null || wantedPart != part);
   }
 
   @Override
@@ -167,7 +203,7 @@
   public void reread(String k, Stored now) {
     MachineRecord r = now == null ? null : Json.read(now.value(), MachineRecord.class);
     version = now == null ? 0 : now.version();
-    recordedPart = r == null ? -1 : r.part();
+    recordedPart = r != null ? r.part() : hire != null ? part : -1;
     removed = gone && r == null;
     if (moved()) {
       // Already given away, by an earlier write of ours or by a former owner: it stays there.
--- a/src/main/java/dev/windbend/machine/MachineRecord.java
+++ b/src/main/java/dev/windbend/machine/MachineRecord.java
@@ -2,7 +2,7 @@
 
 import com.fasterxml.jackson.annotation.JsonProperty;
 
-/** A machine as stored: which part's it is. */
+/** A machine that was adopted or has changed parts, as stored: which part's it is. */
 public record MachineRecord(
     @JsonProperty("part") int part,
     @JsonProperty("type") String type,
--- /dev/null
+++ b/src/main/java/dev/windbend/machine/Stray.java
@@ -0,0 +1,12 @@
+package dev.windbend.machine;
+
+/** What is known of a machine that no part has on record. */
+public record Stray(String type, String zone, boolean spot) {
+  /** It could be one that this rental brings. */
+  boolean mayBelongTo(HireRecord hire) {
+    return hire.open()
+        && hire.spot() == spot
+        && hire.type().equals(type)
+        && hire.zone().equals(zone);
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/windbend/machine/Strays.java
@@ -0,0 +1,90 @@
+package dev.windbend.machine;
+
+import dev.windbend.daemon.io.Json;
+import dev.windbend.daemon.io.Loop;
+import dev.windbend.store.StoreClient;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Machines that report or are listed, but are on nobody's record: taken in and dealt out among the
+ * parts. The mirror may lag, so the rentals are read from the state service itself first: a machine
+ * that exists was preceded by its rental's record, so one that no record names, while none of its
+ * kind is without an answer, is nobody's.
+ */
+public final class Strays {
+  private static final long PAUSE_MS = 1_000;
+  private static final int MOST = 2_000;
+
+  private final Loop loop;
+  private final StoreClient store;
+  private final Fleet fleet;
+  private final int parts;
+  private final Map<String, Stray> noted = new LinkedHashMap<>();
+  private boolean looking;
+  private boolean closed;
+  private int next;
+
+  public Strays(Loop loop, StoreClient store, Fleet fleet, int parts) {
+    this.loop = loop;
+    this.store = store;
+    this.fleet = fleet;
+    this.parts = parts;
+  }
+
+  public void close() {
+    closed = true;
+  }
+
+  public void note(String machine, Stray stray) {
+    if (noted.size() < MOST) {
+      noted.put(machine, stray);
+    }
+    if (!looking && !closed) {
+      looking = true;
+      loop.after(
+          PAUSE_MS,
+          () -> {
+            Map<String, Stray> open = new LinkedHashMap<>(noted);
+            noted.clear();
+            look(null, open, new HashSet<>());
+          });
+    }
+  }
+
+  private void look(String from, Map<String, Stray> open, Set<String> taken) {
+    store.list(
+        HireRecord.KEYS,
+        from,
+        page -> {
+          if (closed) {
+            return;
+          }
+          if (!page.ok()) {
+            looking = false;
+            return;
+          }
+          for (StoreClient.Item i : page.items()) {
+            HireRecord h = Json.read(i.value(), HireRecord.class);
+            if (h != null && h.open()) {
+              open.values().removeIf(s -> s.mayBelongTo(h));
+            } else if (h != null) {
+              taken.addAll(h.machines());
+            }
+          }
+          if (page.more() && !page.items().isEmpty()) {
+            look(page.items().get(page.items().size() - 1).key(), open, taken);
+            return;
+          }
+          looking = false;
+          open.forEach(
+              (name, stray) -> {
+                if (!taken.contains(name)) {
+                  fleet.adopt(name, stray, next++ % parts);
+                }
+              });
+        });
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/windbend/machine/Watch.java
@@ -0,0 +1,92 @@
+package dev.windbend.machine;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** Finds machines of a part that are silent, deaf, never came up, or are due to leave. */
+public final class Watch {
+  private static final long RECALL_SLACK_MS = 1_000;
+  private static final double MISSED_REPORTS = 2.5;
+  private static final double BOOT_PATIENCE = 2.5;
+  private static final long SHORTEST_CHARGE_MS = 60_000;
+
+  /** One lost answer alone says nothing. */
+  private static final int UNHEARD = 2;
+
+  private final Fleet fleet;
+  private final int zones;
+  private final long reportMs;
+  private final long leaseMs;
+  private final long silentMs;
+
+  public Watch(Fleet fleet, int zones, double reportS, double leaseS) {
+    this.fleet = fleet;
+    this.zones = zones;
+    this.reportMs = (long) (1000 * reportS);
+    this.leaseMs = (long) (1000 * leaseS);
+    this.silentMs = (long) (1000 * Math.max(4 * reportS, leaseS * 0.6));
+  }
+
+  /**
+   * @param sureSinceMs since when this owner has been able to hear and answer; the machines'
+   *     silence counts from then
+   */
+  public void look(long now, long sureSinceMs) {
+    List<Machine> silent = new ArrayList<>();
+    List<Machine> deaf = new ArrayList<>();
+    int[] heard = new int[zones];
+    int[] missed = new int[zones];
+    int talking = 0;
+    for (Machine m : List.copyOf(fleet.machines())) {
+      if (m.returning) {
+        continue;
+      }
+      if (m.seenMs < 0) {
+        neverSeen(m, now, sureSinceMs);
+        continue;
+      }
+      long quiet = now - Math.max(m.seenMs, sureSinceMs);
+      if (quiet > silentMs) {
+        silent.add(m);
+      }
+      if (quiet > MISSED_REPORTS * reportMs) {
+        missed[m.zone]++;
+      } else {
+        heard[m.zone]++;
+        talking++;
+      }
+      if (m.unheard >= UNHEARD) {
+        deaf.add(m);
+      }
+      boolean empty = m.draining && m.tasks.isEmpty();
+      if (m.recallMs >= 0 && now > m.recallMs + RECALL_SLACK_MS || empty && m.promisedTo < 0) {
+        fleet.giveBack(m, "drained");
+      } else if (empty && m.confirmed && m.recorded()) {
+        fleet.lend(m, m.promisedTo);
+      }
+    }
+    for (Machine m : silent) {
+      // Most of a zone at once looks like a cut: the tasks go on behind it, so they get their
+      // whole lease.
+      boolean cut = missed[m.zone] > 1 && missed[m.zone] > heard[m.zone];
+      long patience = cut ? leaseMs + 2 * reportMs : silentMs;
+      if (now - Math.max(m.seenMs, sureSinceMs) > patience) {
+        fleet.giveBack(m, "silent");
+      }
+    }
+    // Many at once: the fault is ours, as when this process is slow.
+    if (deaf.size() == 1 || 3 * deaf.size() < talking) {
+      deaf.forEach(m -> fleet.giveBack(m, "does not hear us"));
+    }
+  }
+
+  private void neverSeen(Machine m, long now, long sureSinceMs) {
+    // Inherited ones count from the takeover, so they get their time to find us.
+    long patience = (long) Math.max(SHORTEST_CHARGE_MS, 1000 * BOOT_PATIENCE * m.type.bootS());
+    if (now - m.rentedMs > patience) {
+      fleet.giveBack(m, "never came up");
+    } else if (!m.tasks.isEmpty() && now - Math.max(sureSinceMs, m.rentedMs) > leaseMs + silentMs) {
+      fleet.giveBack(m, "silent since the takeover");
+    }
+  }
+}
--- a/src/main/java/dev/windbend/part/Facts.java
+++ b/src/main/java/dev/windbend/part/Facts.java
@@ -11,6 +11,7 @@
     double leaseS,
     double listLagS,
     double cloudRps,
+    int valueBytes,
     Aims aims) {
 
   public record TeamFact(
--- /dev/null
+++ b/src/main/java/dev/windbend/part/Loans.java
@@ -0,0 +1,135 @@
+package dev.windbend.part;
+
+import dev.windbend.daemon.io.Loop;
+import dev.windbend.job.Placement;
+import dev.windbend.machine.Fleet;
+import dev.windbend.machine.Machine;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.function.IntConsumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Machines that go from one part to another: asked for, given, promised. */
+final class Loans {
+  private static final Logger LOG = LoggerFactory.getLogger(Loans.class);
+  private static final long ASK_GAP_MS = 1_000;
+
+  /** Each costs a change in the state service, where a rental of fifty costs two. */
+  private static final int MOST = 4;
+
+  private final int part;
+  private final Loop loop;
+  private final Fleet fleet;
+  private final double guaranteedCores;
+  private final Owner.Lender lender;
+  private final List<Machine> spare = new ArrayList<>();
+  private boolean asking;
+  private long lastAskMs = Long.MIN_VALUE / 2;
+
+  Loans(int part, Loop loop, Fleet fleet, double guaranteedCores, Owner.Lender lender) {
+    this.part = part;
+    this.loop = loop;
+    this.fleet = fleet;
+    this.guaranteedCores = guaranteedCores;
+    this.lender = lender;
+  }
+
+  boolean asking() {
+    return asking;
+  }
+
+  boolean mayAsk() {
+    return !asking && loop.nowMs() - lastAskMs >= ASK_GAP_MS;
+  }
+
+  /** What the last round left idle. */
+  void spare(List<Machine> machines) {
+    spare.clear();
+    spare.addAll(machines);
+  }
+
+  /** Idle paid room first, of the other parts too: what they can spare need not be rented. */
+  void ask(double shortCores, double largest, IntConsumer given) {
+    int count = (int) Math.ceil(shortCores / largest);
+    double below = guaranteedCores - coresOfMachines();
+    boolean guaranteed = below > 0;
+    if (guaranteed) {
+      count = Math.min(count, (int) Math.ceil(below / largest));
+    }
+    asking = true;
+    lastAskMs = loop.nowMs();
+    lender.ask(
+        part,
+        Math.min(MOST, count),
+        guaranteed,
+        n -> {
+          asking = false;
+          given.accept(n);
+        });
+  }
+
+  private double coresOfMachines() {
+    double all = 0;
+    for (Machine m : fleet.machines()) {
+      all += m.returning || m.promisedTo >= 0 ? 0 : m.type.cores();
+    }
+    return all;
+  }
+
+  /**
+   * Another part lacks machines: it gets idle ones, and, if it is within its teams' guarantees, the
+   * machines by which this part is above its own, as soon as they are empty.
+   */
+  int lend(int to, int count, boolean guaranteed) {
+    int given = 0;
+    for (Machine m : List.copyOf(spare)) {
+      if (given < count && m.usable(loop.nowMs()) && m.tasks.isEmpty() && fleet.find(m.name) == m) {
+        spare.remove(m);
+        fleet.lend(m, to);
+        given++;
+      }
+    }
+    if (guaranteed && given < count) {
+      promise(to, count - given);
+    }
+    return given;
+  }
+
+  /** To a part below its guarantee: what this part has above its own. */
+  private void promise(int to, int count) {
+    double above = coresOfMachines() - guaranteedCores;
+    int left = count;
+    for (Machine m : fleet.machines()) {
+      left -= m.promisedTo == to ? 1 : 0;
+    }
+    List<Machine> busy = new ArrayList<>(fleet.machines());
+    busy.sort(Comparator.comparingDouble(this::lostByStopping));
+    for (Machine m : busy) {
+      if (left > 0 && above >= m.type.cores() && m.usable(loop.nowMs())) {
+        LOG.info("{} is promised to part {}", m.name, to);
+        m.promisedTo = to;
+        m.draining = true;
+        above -= m.type.cores();
+        left--;
+        for (Placement p : m.tasks.values()) {
+          // What can save is stopped; the others may finish first.
+          if (p.job.spec.checkpointS() > 0) {
+            p.stop(p.job.spec.saveS() + 1);
+          }
+        }
+      }
+    }
+  }
+
+  private double lostByStopping(Machine m) {
+    double all = 0;
+    long now = loop.nowMs();
+    for (Placement p : m.tasks.values()) {
+      all +=
+          p.job.spec.cores() * (p.job.spec.checkpointS() > 0 ? 1 : Math.max(1, now - p.placedMs));
+    }
+    return all;
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/windbend/part/Rounds.java
@@ -0,0 +1,439 @@
+package dev.windbend.part;
+
+import dev.windbend.daemon.io.Loop;
+import dev.windbend.daemon.io.Names;
+import dev.windbend.job.Board;
+import dev.windbend.job.Job;
+import dev.windbend.job.Placement;
+import dev.windbend.machine.Catalog;
+import dev.windbend.machine.Fleet;
+import dev.windbend.machine.Machine;
+import dev.windbend.machine.MachineType;
+import dev.windbend.plan.Deadlines;
+import dev.windbend.plan.Estimates;
+import dev.windbend.plan.Planner;
+import dev.windbend.plan.Snapshot;
+import dev.windbend.plan.Wanted;
+import it.unimi.dsi.fastutil.ints.IntOpenHashSet;
+import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** A part's planning rounds: what is goes into a snapshot, and what it wants is carried out. */
+final class Rounds {
+  private static final Logger LOG = LoggerFactory.getLogger(Rounds.class);
+  private static final long GAP_MS = 150;
+  private static final long LONGEST_GAP_MS = 2_000;
+
+  /** Rounds on events take no more of the processor than one part in so many. */
+  private static final int COST_PART = 15;
+
+  private static final long RENT_GAP_MS = 1_000;
+
+  /** One round in so many serves the long overdue first. */
+  private static final int OLDEST_FIRST = 4;
+
+  private static final int RENTAL = 50;
+  private static final double BOOT_PATIENCE = 2.5;
+  private static final double BOOT_LATE = 1.5;
+
+  private final Loop loop;
+  private final Catalog catalog;
+  private final Facts facts;
+  private final Policy policy;
+  private final Estimates estimates;
+  private final Names images;
+  private final Board board;
+  private final Fleet fleet;
+  private final Loans loans;
+  private final BooleanSupplier mayAct;
+  private long lastMs;
+  private long costMs;
+  private long lastRentMs = Long.MIN_VALUE / 2;
+  private long count;
+  private boolean due;
+
+  Rounds(
+      Loop loop,
+      Catalog catalog,
+      Facts facts,
+      Policy policy,
+      Estimates estimates,
+      Names images,
+      Board board,
+      Fleet fleet,
+      Loans loans,
+      BooleanSupplier mayAct) {
+    this.loop = loop;
+    this.catalog = catalog;
+    this.facts = facts;
+    this.policy = policy;
+    this.estimates = estimates;
+    this.images = images;
+    this.board = board;
+    this.fleet = fleet;
+    this.loans = loans;
+    this.mayAct = mayAct;
+    this.lastMs = loop.nowMs();
+  }
+
+  /** Something happened: a round follows soon. */
+  void want() {
+    if (!due) {
+      due = true;
+      if (policy.roundsOnEvents()) {
+        loop.after(GAP_MS, this::onEvent);
+      }
+    }
+  }
+
+  /** A round at once, unless one has just been: then soon. */
+  void now() {
+    if (!policy.roundsOnEvents() || loop.nowMs() - lastMs < gapMs()) {
+      want();
+    } else {
+      round();
+    }
+  }
+
+  /** Events are joined when rounds cost much. */
+  private long gapMs() {
+    return Math.min(LONGEST_GAP_MS, Math.max(GAP_MS, COST_PART * costMs));
+  }
+
+  private void onEvent() {
+    long wait = gapMs() - (loop.nowMs() - lastMs);
+    if (due && wait > 0) {
+      loop.after(wait, this::onEvent);
+    } else if (due) {
+      round();
+    }
+  }
+
+  /** Called again and again: the period's round, if none has been. */
+  void tick(long everyMs) {
+    long now = loop.nowMs();
+    long most = policy.roundsOnEvents() ? Math.max(everyMs, gapMs()) : policy.periodMs();
+    if (now - lastMs >= most) {
+      round();
+    }
+  }
+
+  long costMs() {
+    return costMs;
+  }
+
+  private void round() {
+    due = false;
+    if (!mayAct.getAsBoolean()) {
+      return;
+    }
+    long now = loop.nowMs();
+    lastMs = now;
+    count++;
+    List<Job> works = new ArrayList<>();
+    for (Job j : board.all()) {
+      if (j.waitingCount() > 0) {
+        works.add(j);
+      }
+    }
+    List<Machine> rooms = new ArrayList<>();
+    for (Machine m : fleet.machines()) {
+      if (!m.returning && !m.draining && m.unheard == 0 && now >= m.fullUntilMs) {
+        rooms.add(m);
+      }
+    }
+    List<Snapshot.Offer> offers = offers();
+    List<List<Placement>> running = new ArrayList<>();
+    Wanted wanted = Planner.plan(snapshot(now, works, rooms, offers, running));
+    carryOut(wanted, now, works, rooms, running);
+    if (wanted.shortCores() > 0 && loans.mayAsk()) {
+      double largest = catalog.all().stream().mapToDouble(MachineType::cores).max().orElse(1);
+      loans.ask(
+          wanted.shortCores(),
+          largest,
+          given -> {
+            if (mayAct.getAsBoolean()) {
+              rent(wanted.rentals(), offers, given);
+            }
+          });
+    } else if (!loans.asking()) {
+      rent(wanted.rentals(), offers, 0);
+    }
+    for (int i : wanted.giveBack()) {
+      fleet.giveBack(rooms.get(i), "idle at the end of its block");
+    }
+    costMs = loop.nowMs() - now;
+  }
+
+  private void carryOut(
+      Wanted wanted,
+      long now,
+      List<Job> works,
+      List<Machine> rooms,
+      List<List<Placement>> running) {
+    for (Wanted.Stop stop : wanted.stops()) {
+      Placement p = running.get(stop.room()).get(stop.running());
+      LOG.info("stopping {} on {} to make room", p.taskName(), p.machine);
+      p.stop(0);
+    }
+    Set<Job> changed = new LinkedHashSet<>();
+    for (Wanted.Place place : wanted.places()) {
+      Job job = works.get(place.work());
+      Machine m = rooms.get(place.room());
+      m.add(job.place(job.nextWaiting(), m.name, now, count));
+      changed.add(job);
+    }
+    changed.forEach(board::touched);
+    List<Machine> spare = new ArrayList<>();
+    for (int i : wanted.spare()) {
+      spare.add(rooms.get(i));
+    }
+    loans.spare(spare);
+  }
+
+  private void rent(List<Wanted.Rental> rentals, List<Snapshot.Offer> offers, int less) {
+    // Event rounds are many: while the cloud has not answered the last rentals, none is added.
+    long now = loop.nowMs();
+    if (rentals.isEmpty() || !fleet.pending().isEmpty() || now - lastRentMs < RENT_GAP_MS) {
+      return;
+    }
+    lastRentMs = now;
+    int spared = less;
+    for (Wanted.Rental r : rentals) {
+      Snapshot.Offer o = offers.get(r.offer());
+      int n = Math.max(0, r.count() - spared);
+      spared = Math.max(0, spared - r.count());
+      if (n > 0) {
+        fleet.rent(catalog.type(o.type()), o.zone(), o.spot(), n);
+      }
+    }
+  }
+
+  private List<Snapshot.Offer> offers() {
+    List<Snapshot.Offer> all = new ArrayList<>();
+    for (MachineType t : catalog.all()) {
+      Snapshot.Size size = new Snapshot.Size(t.cores(), t.cards(), t.ram());
+      for (int zone : t.zones()) {
+        for (boolean spot : new boolean[] {true, false}) {
+          if (!fleet.refused(t.index(), zone, spot)) {
+            all.add(
+                new Snapshot.Offer(
+                    t.index(),
+                    zone,
+                    spot,
+                    size,
+                    spot ? t.spotPrice() : t.price(),
+                    (long) (1000 * t.bootS()),
+                    t.fetchGbPerS()));
+          }
+        }
+      }
+    }
+    return all;
+  }
+
+  private Snapshot snapshot(
+      long now,
+      List<Job> works,
+      List<Machine> machines,
+      List<Snapshot.Offer> offers,
+      List<List<Placement>> running) {
+    double[] cores = new double[facts.teams().size()];
+    double[] cards = new double[cores.length];
+    for (Job j : board.all()) {
+      // Everything not proved gone counts, wherever it is.
+      cores[j.team] += j.placements().size() * j.spec.cores();
+      cards[j.team] += j.placements().size() * j.spec.cards();
+    }
+    List<Snapshot.Team> teams = new ArrayList<>();
+    for (int i = 0; i < cores.length; i++) {
+      Facts.TeamFact t = facts.teams().get(i);
+      teams.add(new Snapshot.Team(t.coresMost(), t.cardsMost(), cores[i], cards[i]));
+    }
+    Object2IntOpenHashMap<String> roomOf = new Object2IntOpenHashMap<>();
+    List<Snapshot.Room> rooms = new ArrayList<>();
+    for (Machine m : machines) {
+      roomOf.put(m.name, rooms.size());
+      List<Placement> on = new ArrayList<>(m.tasks.values());
+      // What is stopped without grace is gone before the next start on its machine.
+      on.removeIf(p -> p.stopGraceS == 0);
+      running.add(on);
+      rooms.add(room(m, on, now));
+    }
+    for (Fleet.Pending p : fleet.pending()) {
+      for (int i = 0; i < p.count(); i++) {
+        rooms.add(pendingRoom(p, now));
+      }
+    }
+    List<Snapshot.Work> views = new ArrayList<>();
+    works.forEach(j -> views.add(work(j, now, roomOf)));
+    // The cap is on calls to the cloud, and one call rents many.
+    double calls = facts.cloudRps() * policy.periodMs() / 1000.0 / facts.nodes();
+    return new Snapshot(
+        now,
+        policy.periodMs(),
+        (long) (2_000 * facts.reportS()),
+        RENTAL * (int) Math.max(1, calls),
+        count % OLDEST_FIRST == 0,
+        teams,
+        views,
+        rooms,
+        offers);
+  }
+
+  private Snapshot.Room room(Machine m, List<Placement> on, long now) {
+    MachineType t = m.type;
+    Snapshot.Size free = new Snapshot.Size(t.cores(), t.cards(), t.ram());
+    List<Snapshot.Running> running = new ArrayList<>();
+    for (Placement p : on) {
+      Snapshot.Size size = size(p.job);
+      free = free.minus(size);
+      running.add(
+          new Snapshot.Running(
+              expectedEnd(p, t, now), size, p.job.spec.urgency().ordinal(), lostMs(p, now)));
+    }
+    boolean up = m.usable(now);
+    long sinceS = (now - m.rentedMs) / 1000;
+    long ready =
+        m.seenMs >= 0
+            ? now + 1_000
+            : sinceS > BOOT_LATE * t.bootS()
+                ? now + (long) (1000 * BOOT_PATIENCE * t.bootS())
+                : Math.max(m.rentedMs + (long) (1000 * t.bootS()), now + 1_000);
+    long block = policy.blockMs();
+    // The block in which it went idle (or now, if it is busy) is paid to its end.
+    long ref = m.idleSinceMs >= 0 ? m.idleSinceMs : now;
+    long blocks = Math.max(1, (Math.max(0, ref - m.rentedMs) + block - 1) / block);
+    return new Snapshot.Room(
+        t.index(),
+        m.zone,
+        m.spot,
+        up,
+        m.listening ? 0 : Math.max(0, m.seenMs + (long) (1000 * facts.reportS()) - now),
+        free,
+        ready,
+        m.tasks.isEmpty(),
+        m.rentedMs + blocks * block,
+        m.spot ? t.spotPrice() : t.price(),
+        t.fetchGbPerS(),
+        m.images,
+        running);
+  }
+
+  /** What stopping it at once would lose; -1: it is being stopped, or its state is not known. */
+  private static long lostMs(Placement p, long now) {
+    if (p.stopping() || p.inherited && !p.seen) {
+      return -1;
+    }
+    long ran = p.runningMs < 0 ? 0 : now - p.runningMs;
+    long step = (long) (1000 * p.job.spec.checkpointS());
+    return step > 0 ? ran % step : ran;
+  }
+
+  private Snapshot.Room pendingRoom(Fleet.Pending p, long now) {
+    MachineType t = p.type();
+    long ready = Math.max(p.sinceMs() + (long) (1000 * t.bootS()), now + 1_000);
+    return new Snapshot.Room(
+        t.index(),
+        p.zone(),
+        p.spot(),
+        false,
+        0,
+        new Snapshot.Size(t.cores(), t.cards(), t.ram()),
+        ready,
+        false,
+        ready,
+        p.spot() ? t.spotPrice() : t.price(),
+        t.fetchGbPerS(),
+        new IntOpenHashSet(),
+        List.of());
+  }
+
+  private static Snapshot.Size size(Job j) {
+    return new Snapshot.Size(j.spec.cores(), j.spec.cards(), j.spec.ram());
+  }
+
+  private double estimateS(Job j) {
+    return Math.max(1, estimates.of(user(j), j.spec.estimateS()));
+  }
+
+  /** Whose recent times tell how long a task will run. */
+  static String user(Job job) {
+    return job.spec.team() + "/" + job.spec.kind();
+  }
+
+  private long expectedEnd(Placement p, MachineType t, long now) {
+    if (p.stopping()) {
+      return now + (long) (1000 * p.stopGraceS) + 1_000;
+    }
+    double e = estimateS(p.job);
+    if (p.runningMs < 0) {
+      return p.placedMs
+          + (long) (1000 * (e + p.job.spec.imageGb() / Math.max(0.01, t.fetchGbPerS())));
+    }
+    return p.runningMs + (long) (1000 * Estimates.corrected(e, (now - p.runningMs) / 1000.0));
+  }
+
+  private Snapshot.Work work(Job j, long now, Object2IntOpenHashMap<String> roomOf) {
+    boolean[] types = null;
+    if (j.spec.types() != null) {
+      types = new boolean[catalog.all().size()];
+      for (MachineType t : catalog.all()) {
+        types[t.index()] = j.spec.types().contains(t.name());
+      }
+    }
+    int[] perZone = new int[catalog.zones.size()];
+    if (j.spec.spread() || j.spec.together()) {
+      for (Placement p : j.placements()) {
+        Machine m = fleet.find(p.machine);
+        if (m != null) {
+          perZone[m.zone]++;
+        }
+      }
+    }
+    IntOpenHashSet avoid = new IntOpenHashSet();
+    for (String m : j.failedOn) {
+      if (roomOf.containsKey(m)) {
+        avoid.add(roomOf.getInt(m));
+      }
+    }
+    double[] limits =
+        facts
+            .aims()
+            .limits(
+                j.spec.kind(),
+                j.spec.dueS(),
+                policy.impliedDue() * j.spec.estimateS(),
+                policy.dueFromAims());
+    long age = loop.wallMs() - j.submittedWallMs;
+    double estimateS = estimateS(j);
+    Deadlines due = Deadlines.next(limits, age / 1000.0, estimateS);
+    return new Snapshot.Work(
+        j.team,
+        j.spec.urgency().ordinal(),
+        size(j),
+        types,
+        j.spec.zone() == null ? -1 : catalog.zones.index(j.spec.zone()),
+        j.spec.together(),
+        j.spec.spread(),
+        j.spec.spot(),
+        images.index(j.spec.image()),
+        j.spec.imageGb(),
+        j.spec.tasks(),
+        j.waitingCount(),
+        perZone,
+        (long) (1000 * estimateS),
+        now - age + (long) (1000 * due.dueS()),
+        due.hopeless(),
+        age,
+        j.begun(),
+        j.notBeforeMs,
+        avoid);
+  }
+}
--- a/src/main/java/dev/windbend/peer/Peers.java
+++ b/src/main/java/dev/windbend/peer/Peers.java
@@ -22,11 +22,18 @@
   private final Web web;
   private final StoreClient store;
   private final List<String> addresses;
+  private final long aloneMs;
   private long servedMs = Long.MIN_VALUE / 2;
+  private long heardMs = Long.MIN_VALUE / 2;
 
   record View(@JsonProperty("answered_ms_ago") long answeredMsAgo) {}
 
-  public Peers(Loop loop, Web web, StoreClient store, List<String> addresses) {
+  /**
+   * @param aloneMs how long a node that reaches neither the state service nor another node may hope
+   *     that it is a general outage
+   */
+  public Peers(Loop loop, Web web, StoreClient store, List<String> addresses, long aloneMs) {
+    this.aloneMs = aloneMs;
     this.loop = loop;
     this.web = web;
     this.store = store;
@@ -42,6 +49,27 @@
     return store.failingForMs() > FAILING_MS && loop.nowMs() - servedMs < 2 * PAUSE_MS + FRESH_MS;
   }
 
+  /**
+   * May keep workers by empty answers: as far as can be known, nobody could use them now. With no
+   * word from any node that holds for a while only: the others may be served, and a general outage
+   * leaves the workers the rest of their lease even then.
+   */
+  public boolean mayKeepWorkers() {
+    if (othersServed()) {
+      return false;
+    }
+    return addresses.isEmpty()
+        || store.failingForMs() <= aloneMs
+        || loop.nowMs() - heardMs < 2 * PAUSE_MS + FRESH_MS;
+  }
+
+  /** Reaches neither the state service nor any other node. */
+  public boolean alone() {
+    return store.failingForMs() > 2 * PAUSE_MS + FRESH_MS
+        && !addresses.isEmpty()
+        && loop.nowMs() - heardMs >= 2 * PAUSE_MS + FRESH_MS;
+  }
+
   public Web.Answer view() {
     return Web.Answer.of(
         200, new View(store.failingForMs() > 0 ? loop.nowMs() - store.lastOkMs() : 0));
@@ -61,6 +89,9 @@
           LIMIT_MS,
           reply -> {
             View v = reply.ok() ? Json.read(reply.body(), View.class) : null;
+            if (v != null) {
+              heardMs = loop.nowMs();
+            }
             if (v != null && v.answeredMsAgo() < FRESH_MS && store.failingForMs() > FRESH_MS) {
               servedMs = loop.nowMs();
             }
--- a/src/main/java/dev/windbend/plan/Planner.java
+++ b/src/main/java/dev/windbend/plan/Planner.java
@@ -1,38 +1,122 @@
 package dev.windbend.plan;
 
 import dev.windbend.plan.Snapshot.Offer;
-import dev.windbend.plan.Snapshot.Room;
 import dev.windbend.plan.Snapshot.Running;
 import dev.windbend.plan.Snapshot.Size;
 import dev.windbend.plan.Snapshot.Work;
-import it.unimi.dsi.fastutil.ints.IntOpenHashSet;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.PriorityQueue;
 
 /**
  * One round of the design's loop (paper, Algorithm 1), as a pure function: idle paid room first;
  * wait while the slack allows; queue behind a machine that is free soon enough, which is held; else
  * extend a paid block or rent, whichever costs less.
+ *
+ * <p>The tasks of a job are alike, so a job looks at each machine once and not once for each task,
+ * and what one job has found full is not searched again for another of its size.
  */
 public final class Planner {
+  /** A job must begin within four minutes of its submission; at half of that it goes first. */
+  private static final long BEGIN_MS = 120_000;
+
+  /** The part of such a job's tasks that goes first. */
+  private static final int BEGIN_PART = 8;
+
+  /** Older ones are long overdue. */
+  private static final long OVERDUE_MS = 240_000;
+
   private final Snapshot s;
   private final List<Line> lines = new ArrayList<>();
+  private final List<Full> full = new ArrayList<>();
+  private final Ask[] asks;
   private final int[] rented;
+  private final int[] machinesIn;
   private final double[] usedCores;
   private final double[] usedCards;
   private final List<Wanted.Place> places = new ArrayList<>();
   private final List<Wanted.Stop> stops = new ArrayList<>();
+  private int lowestRank = -1;
   private int rentals;
   private double shortCores;
 
+  /** Nothing of this size gets free before that time. */
+  private record Full(Size size, long untilMs) {}
+
+  /** A machine with what speaks for or against it. */
+  private record Choice(Line line, double score, long atMs, List<Integer> victims) {
+    private static final Comparator<Choice> BEST =
+        Comparator.comparingDouble(Choice::score).thenComparingInt(c -> c.line.index);
+  }
+
+  /** A job being served in this round. */
+  private static final class Ask {
+    final Work w;
+    final int index;
+    final int[] zones;
+    int left;
+    int together;
+
+    Ask(Work w, int index) {
+      this.w = w;
+      this.index = index;
+      this.zones = w.placedPerZone().clone();
+      this.left = w.waiting();
+      this.together = w.together() ? firstUsed(zones) : -1;
+    }
+
+    private static int firstUsed(int[] zones) {
+      for (int z = 0; z < zones.length; z++) {
+        if (zones[z] > 0) {
+          return z;
+        }
+      }
+      return -1;
+    }
+
+    boolean mayUse(int type, int zone, boolean spot) {
+      return (w.types() == null || w.types()[type])
+          && (w.zone() < 0 || w.zone() == zone)
+          && (together < 0 || together == zone)
+          && (w.spot() || !spot)
+          && (!w.spread() || zones[zone] + 1 <= (w.tasks() + 1) / 2);
+    }
+
+    boolean mayUse(Line l) {
+      return mayUse(l.type, l.zone, l.spot)
+          && (l.room == null || !w.avoidRooms().contains(l.index));
+    }
+
+    void took(Line l) {
+      zones[l.zone]++;
+      together = w.together() ? l.zone : -1;
+      left--;
+    }
+  }
+
   private Planner(Snapshot s) {
     this.s = s;
+    this.asks = new Ask[s.works().size()];
     this.rented = new int[s.offers().size()];
     this.usedCores = s.teams().stream().mapToDouble(Snapshot.Team::usedCores).toArray();
     this.usedCards = s.teams().stream().mapToDouble(Snapshot.Team::usedCards).toArray();
+    int zones = 0;
+    for (Offer o : s.offers()) {
+      zones = Math.max(zones, o.zone() + 1);
+    }
+    this.machinesIn = new int[zones];
     for (int i = 0; i < s.rooms().size(); i++) {
-      lines.add(new Line(s.rooms().get(i), i, s.nowMs()));
+      Line l = new Line(s.rooms().get(i), i, s.nowMs());
+      lines.add(l);
+      if (l.zone < zones) {
+        machinesIn[l.zone]++;
+      }
+      if (l.room.up()) {
+        for (Running r : l.room.running()) {
+          lowestRank = Math.max(lowestRank, r.lostMs() >= 0 ? r.rank() : -1);
+        }
+      }
     }
   }
 
@@ -41,18 +125,32 @@
   }
 
   private Wanted run() {
-    List<Integer> order = new ArrayList<>();
-    for (int i = 0; i < s.works().size(); i++) {
-      if (s.works().get(i).waiting() > 0 && s.works().get(i).notBeforeMs() <= s.nowMs()) {
-        order.add(i);
+    List<Ask> order = new ArrayList<>();
+    for (int i = 0; i < asks.length; i++) {
+      Work w = s.works().get(i);
+      asks[i] = new Ask(w, i);
+      if (w.waiting() > 0 && w.notBeforeMs() <= s.nowMs()) {
+        order.add(asks[i]);
+      }
+    }
+    // Least work first would leave the largest for ever where capacity is short all day.
+    order.sort(Comparator.<Ask>comparingLong(a -> -a.w.ageMs()));
+    for (Ask a : order) {
+      if (mustBegin(a.w)) {
+        serve(a, 1 + (a.w.waiting() - 1) / BEGIN_PART);
+      }
+    }
+    for (Ask a : order) {
+      if (s.oldestFirst() && a.w.ageMs() >= OVERDUE_MS) {
+        serve(a, a.left);
       }
     }
     order.sort(
-        Comparator.<Integer>comparingInt(i -> s.works().get(i).rank())
-            .thenComparing(i -> s.works().get(i).hopeless())
-            .thenComparingDouble(i -> left(s.works().get(i))));
-    for (int i : order) {
-      serve(i, s.works().get(i));
+        Comparator.<Ask>comparingInt(a -> a.w.rank())
+            .thenComparing(a -> a.w.hopeless())
+            .thenComparingDouble(a -> remaining(a.w)));
+    for (Ask a : order) {
+      serve(a, a.left);
     }
     List<Wanted.Rental> rentals = new ArrayList<>();
     for (int i = 0; i < rented.length; i++) {
@@ -73,83 +171,56 @@
     return new Wanted(stops, places, rentals, spare, back, shortCores);
   }
 
-  private static double left(Work w) {
-    return w.waiting() * w.size().cores() * w.estimateMs();
+  private static boolean mustBegin(Work w) {
+    return !w.begun() && w.ageMs() >= BEGIN_MS;
   }
 
-  private void serve(int index, Work w) {
-    int[] zones = w.placedPerZone().clone();
-    int together = w.together() ? firstUsed(zones) : -1;
-    for (int k = 0; k < w.waiting(); k++) {
-      if (overLimit(w)) {
-        return;
-      }
-      Line now = idleRoom(w, zones, together);
-      if (now == null) {
-        now = makeRoom(w, zones, together);
-      }
-      if (now != null) {
-        take(now, s.nowMs(), w);
-        zones[now.zone]++;
-        together = w.together() ? now.zone : -1;
-        places.add(new Wanted.Place(index, now.index));
-        continue;
-      }
-      long boot = bootMs(w);
-      long slack = w.dueMs() - s.nowMs() - w.estimateMs() - boot;
-      if (slack > w.estimateMs() + s.periodMs()) {
-        return; // can wait, and so can the rest of the job
-      }
-      Line line = soonFree(w, zones, together, s.nowMs() + boot);
-      if (line == null) {
-        line = rent(w, zones, together);
-      }
-      if (line == null) {
-        shortCores += (w.waiting() - k) * w.size().cores();
-        return;
-      }
-      if (line.room == null || !line.room.up()) {
-        shortCores += w.size().cores();
-      }
-      zones[line.zone]++;
-      together = w.together() ? line.zone : -1;
-    }
+  private static double remaining(Work w) {
+    return w.waiting() * w.size().cores() * w.estimateMs();
   }
 
-  private static int firstUsed(int[] zones) {
-    for (int z = 0; z < zones.length; z++) {
-      if (zones[z] > 0) {
-        return z;
-      }
+  /** Serves so many of a job's tasks at the most. */
+  private void serve(Ask a, int most) {
+    int keep = a.left - Math.min(Math.min(a.left, most), underLimit(a.w));
+    useIdle(a, keep);
+    if (a.left > keep && a.w.rank() < lowestRank) {
+      soonFree(a, keep, s.nowMs() + s.patienceMs(), false);
+      makeRoom(a, keep);
+    }
+    if (a.left <= keep) {
+      return;
+    }
+    long boot = bootMs(a.w);
+    long slack = a.w.dueMs() - s.nowMs() - a.w.estimateMs() - boot;
+    if (slack > a.w.estimateMs() + s.periodMs() && !mustBegin(a.w)) {
+      return; // can wait
+    }
+    soonFree(a, keep, s.nowMs() + boot, true);
+    rent(a, keep);
+    if (a.left > keep) {
+      shortCores += (a.left - keep) * a.w.size().cores();
+      a.left = keep;
     }
-    return -1;
   }
 
-  private boolean overLimit(Work w) {
+  private int underLimit(Work w) {
     Snapshot.Team t = s.teams().get(w.team());
-    return usedCores[w.team()] + w.size().cores() > t.mostCores() + 1e-6
-        || usedCards[w.team()] + w.size().cards() > t.mostCards() + 1e-6;
+    return new Size(t.mostCores() - usedCores[w.team()], t.mostCards() - usedCards[w.team()], 0)
+        .times(new Size(w.size().cores(), w.size().cards(), 0));
   }
 
   /** The room is spoken for from then on, and counts for the team's limit at once. */
-  private void take(Line l, long atMs, Work w) {
+  private void take(Ask a, Line l, long atMs) {
+    Work w = a.w;
     l.take(atMs, w.estimateMs() + fetchMs(w, l), w.size());
     usedCores[w.team()] += w.size().cores();
     usedCards[w.team()] += w.size().cards();
+    a.took(l);
   }
 
-  private static boolean allowed(
-      Work w, int type, int zone, boolean spot, int[] zones, int together) {
-    return (w.types() == null || w.types()[type])
-        && (w.zone() < 0 || w.zone() == zone)
-        && (together < 0 || together == zone)
-        && (w.spot() || !spot)
-        && (!w.spread() || zones[zone] + 1 <= (w.tasks() + 1) / 2);
-  }
-
-  private static boolean allowed(Work w, Line l, int[] zones, int together) {
-    return allowed(w, l.type, l.zone, l.spot, zones, together)
-        && (l.room == null || !w.avoidRooms().contains(l.index));
+  private void place(Ask a, Line l) {
+    take(a, l, s.nowMs());
+    places.add(new Wanted.Place(a.index, l.index));
   }
 
   private static long fetchMs(Work w, Line l) {
@@ -158,49 +229,51 @@
         : (long) (1000 * w.imageGb() / l.fetchGbPerS);
   }
 
-  /** Idle room on a machine that is up: image at hand first, then the tightest fit. */
-  private Line idleRoom(Work w, int[] zones, int together) {
-    Line best = null;
-    double bestScore = 0;
+  /** Idle room on machines that are up: those that can start soonest, then the tightest fit. */
+  private void useIdle(Ask a, int keep) {
+    Work w = a.w;
+    double newOne = costOfANewOne(w);
+    List<Choice> choices = new ArrayList<>();
     for (Line l : lines) {
-      if (l.room == null || !l.room.up() || !allowed(w, l, zones, together)) {
-        continue;
+      if (l.room != null && l.room.up() && l.now.holds(w.size()) && a.mayUse(l)) {
+        long fetch = fetchMs(w, l);
+        if (l.fitsNow(w.estimateMs() + fetch, w.size()) && extendingCosts(w, l) <= newOne) {
+          double score = l.now.cores() + (fetch + l.room.hearsMs()) / 10.0;
+          choices.add(new Choice(l, score, 0, null));
+        }
       }
-      long fetch = fetchMs(w, l);
-      if (!l.fits(s.nowMs(), w.estimateMs() + fetch, w.size()) || tooDear(w, l)) {
-        continue;
+    }
+    choices.sort(Choice.BEST);
+    for (Choice c : choices) {
+      long run = w.estimateMs() + fetchMs(w, c.line);
+      while (a.left > keep && a.mayUse(c.line) && c.line.fitsNow(run, w.size())) {
+        place(a, c.line);
       }
-      double score = l.now.cores() + fetch / 10.0;
-      if (best == null || score < bestScore) {
-        best = l;
-        bestScore = score;
+      if (a.left <= keep) {
+        return;
       }
     }
-    return best;
   }
 
-  /**
-   * Running past the paid block extends it. That must not cost more than a new machine would,
-   * unless a new one would come too late.
-   */
-  private boolean tooDear(Work w, Line l) {
+  /** Running past the paid block extends it. That must not cost more than a new machine would. */
+  private double extendingCosts(Work w, Line l) {
     long past = s.nowMs() + w.estimateMs() - l.room.paidUntilMs();
-    if (past <= 0) {
-      return false;
-    }
-    double extend = l.room.pricePerH() * past;
+    return past <= 0 ? 0 : l.room.pricePerH() * past;
+  }
+
+  /** Infinite if a new one would come too late. */
+  private double costOfANewOne(Work w) {
+    double least = Double.POSITIVE_INFINITY;
     for (Offer o : s.offers()) {
-      long boot = o.bootMs();
       if ((w.types() == null || w.types()[o.type()])
           && (w.zone() < 0 || w.zone() == o.zone())
           && (w.spot() || !o.spot())
           && o.size().holds(w.size())
-          && s.nowMs() + boot + w.estimateMs() <= w.dueMs()
-          && o.pricePerH() * (w.estimateMs() + boot) < extend) {
-        return true;
+          && s.nowMs() + o.bootMs() + w.estimateMs() <= w.dueMs()) {
+        least = Math.min(least, o.pricePerH() * (w.estimateMs() + o.bootMs()));
       }
     }
-    return false;
+    return least;
   }
 
   private long bootMs(Work w) {
@@ -214,40 +287,34 @@
   }
 
   /**
-   * Stops work of lower priority for this work, where that loses least. Not if room comes soon by
-   * itself, and not if more would be lost than gained.
+   * Stops work of lower priority for this work, where that loses least, and not if more would be
+   * lost than gained.
    */
-  private Line makeRoom(Work w, int[] zones, int together) {
-    Line best = null;
-    List<Integer> bestVictims = null;
-    double least = w.size().cores() * w.estimateMs();
+  private void makeRoom(Ask a, int keep) {
+    PriorityQueue<Choice> choices = new PriorityQueue<>(Choice.BEST);
     for (Line l : lines) {
-      if (l.room == null || !l.room.up() || !allowed(w, l, zones, together)) {
-        continue;
-      }
-      if (l.firstFit(s.nowMs(), w.estimateMs(), w.size()) <= s.nowMs() + s.patienceMs()) {
-        return null;
-      }
-      List<Integer> victims = new ArrayList<>();
-      double lost = victims(w, l, victims) + fetchMs(w, l) * w.size().cores();
-      if (lost < least) {
-        least = lost;
-        best = l;
-        bestVictims = victims;
+      if (a.left > keep && l.room != null && l.room.up() && a.mayUse(l)) {
+        offerVictims(a.w, l, choices);
       }
     }
-    if (best != null) {
-      for (int v : bestVictims) {
+    while (a.left > keep && !choices.isEmpty()) {
+      Choice c = choices.poll();
+      if (!a.mayUse(c.line)) {
+        continue;
+      }
+      for (int v : c.victims) {
         // It counts for its team's limit until it is proved gone.
-        best.stop(v, s.nowMs());
-        stops.add(new Wanted.Stop(best.index, v));
+        c.line.stop(v);
+        stops.add(new Wanted.Stop(c.line.index, v));
       }
+      full.clear();
+      place(a, c.line);
+      offerVictims(a.w, c.line, choices);
     }
-    return best;
   }
 
-  /** Picks the cheapest few to stop; says what that loses, infinite if it frees too little. */
-  private double victims(Work w, Line l, List<Integer> victims) {
+  /** Picks the cheapest few to stop. */
+  private void offerVictims(Work w, Line l, PriorityQueue<Choice> choices) {
     List<Running> running = l.room.running();
     List<Integer> may = new ArrayList<>();
     for (int i = 0; i < running.size(); i++) {
@@ -256,10 +323,14 @@
         may.add(i);
       }
     }
+    if (may.isEmpty()) {
+      return;
+    }
     may.sort(
         Comparator.comparingDouble(i -> running.get(i).lostMs() * running.get(i).size().cores()));
-    Size free = l.least(s.nowMs(), w.estimateMs());
-    double lost = 0;
+    Size free = l.least(w.estimateMs());
+    double lost = fetchMs(w, l) * w.size().cores();
+    List<Integer> victims = new ArrayList<>();
     for (int i : may) {
       if (free.holds(w.size())) {
         break;
@@ -269,154 +340,96 @@
       lost += r.lostMs() * r.size().cores();
       victims.add(i);
     }
-    return free.holds(w.size()) ? lost : Double.POSITIVE_INFINITY;
+    if (free.holds(w.size()) && lost < w.size().cores() * w.estimateMs()) {
+      choices.add(new Choice(l, lost, 0, victims));
+    }
   }
 
-  /** The machine free first, if in time for the deadline or before a new one could be up. */
-  private Line soonFree(Work w, int[] zones, int together, long newOneMs) {
-    Line best = null;
-    long bestAt = Long.MAX_VALUE;
+  /**
+   * Holds the machines free first, if free by that time or, where it is said so, in time for the
+   * deadline.
+   */
+  private void soonFree(Ask a, int keep, long byMs, boolean orInTime) {
+    Work w = a.w;
+    long untilMs = orInTime ? Math.max(byMs, w.dueMs() - w.estimateMs()) : byMs;
+    for (Full f : full) {
+      if (w.size().holds(f.size) && untilMs <= f.untilMs) {
+        return;
+      }
+    }
+    PriorityQueue<Choice> choices = new PriorityQueue<>(Choice.BEST);
+    boolean all = !w.spread() && a.together < 0;
     for (Line l : lines) {
-      if (!allowed(w, l, zones, together)) {
-        continue;
+      if (a.left <= keep) {
+        return;
       }
-      long run = w.estimateMs() + fetchMs(w, l);
-      long at = l.firstFit(s.nowMs(), run, w.size());
-      if (at < bestAt && (at <= newOneMs || at + run <= w.dueMs())) {
-        best = l;
-        bestAt = at;
+      if (a.mayUse(l)) {
+        offerSoon(w, l, byMs, orInTime, choices);
+      } else {
+        all = false;
       }
     }
-    if (best != null) {
-      take(best, bestAt, w);
-    }
-    return best;
-  }
-
-  private Line rent(Work w, int[] zones, int together) {
-    if (rentals >= s.mostRentals()) {
-      return null;
-    }
-    int best = -1;
-    for (int i = 0; i < s.offers().size(); i++) {
-      Offer o = s.offers().get(i);
-      if (o.size().holds(w.size())
-          && allowed(w, o.type(), o.zone(), o.spot(), zones, together)
-          && (best < 0 || o.pricePerH() < s.offers().get(best).pricePerH())) {
-        best = i;
+    while (a.left > keep && !choices.isEmpty()) {
+      Choice c = choices.poll();
+      if (a.mayUse(c.line)) {
+        if (c.line.room == null || !c.line.room.up()) {
+          shortCores += w.size().cores();
+        }
+        take(a, c.line, c.atMs);
+        offerSoon(w, c.line, byMs, orInTime, choices);
       }
     }
-    if (best < 0) {
-      return null;
+    if (a.left > keep && all && untilMs == byMs) {
+      full.add(new Full(w.size(), byMs));
     }
-    rentals++;
-    rented[best]++;
-    Line l = new Line(s.offers().get(best), s.nowMs());
-    take(l, s.nowMs() + s.offers().get(best).bootMs(), w);
-    lines.add(l);
-    return l;
   }
 
-  /** A machine's free room over time, and what of it is spoken for. */
-  private static final class Line {
-    final Room room;
-    final int index;
-    final int type;
-    final int zone;
-    final boolean spot;
-    final double fetchGbPerS;
-    final List<Step> steps = new ArrayList<>();
-    final IntOpenHashSet stopped = new IntOpenHashSet();
-    Size now;
-    boolean taken;
-
-    Line(Room room, int index, long nowMs) {
-      this.room = room;
-      this.index = index;
-      this.type = room.type();
-      this.zone = room.zone();
-      this.spot = room.spot();
-      this.fetchGbPerS = room.fetchGbPerS();
-      if (room.up()) {
-        this.now = room.free();
-        for (Running r : room.running()) {
-          steps.add(new Step(Math.max(r.endMs(), nowMs + 1), r.size()));
-        }
-      } else {
-        this.now = new Size(0, 0, 0);
-        steps.add(new Step(Math.max(room.readyMs(), nowMs + 1), room.free()));
-      }
+  private void offerSoon(
+      Work w, Line l, long byMs, boolean orInTime, PriorityQueue<Choice> choices) {
+    long run = w.estimateMs() + fetchMs(w, l);
+    long at = l.firstFit(run, w.size());
+    if (at <= byMs || orInTime && at < Long.MAX_VALUE && at + run <= w.dueMs()) {
+      choices.add(new Choice(l, at, at, null));
     }
+  }
 
-    Line(Offer o, long nowMs) {
-      this.room = null;
-      this.index = -1;
-      this.type = o.type();
-      this.zone = o.zone();
-      this.spot = o.spot();
-      this.fetchGbPerS = o.fetchGbPerS();
-      this.now = new Size(0, 0, 0);
-      steps.add(new Step(nowMs + o.bootMs(), o.size()));
-    }
-
-    boolean fits(long atMs, long runMs, Size need) {
-      return least(atMs, runMs).holds(need);
-    }
-
-    /** What is free all through the given time. */
-    Size least(long atMs, long runMs) {
-      Size least = freeAt(atMs);
-      for (Step r : steps) {
-        if (r.atMs() > atMs && r.atMs() < atMs + runMs && r.size().cores() < 0) {
-          Size f = freeAt(r.atMs());
-          least =
-              new Size(
-                  Math.min(least.cores(), f.cores()),
-                  Math.min(least.cards(), f.cards()),
-                  Math.min(least.ram(), f.ram()));
-        }
+  private void rent(Ask a, int keep) {
+    Work w = a.w;
+    while (a.left > keep && rentals < s.mostRentals()) {
+      int best = cheapest(a);
+      if (best < 0) {
+        return;
       }
-      return least;
-    }
-
-    private Size freeAt(long atMs) {
-      Size free = now;
-      for (Step r : steps) {
-        if (r.atMs() <= atMs) {
-          free = free.plus(r.size());
-        }
+      Offer o = s.offers().get(best);
+      rentals++;
+      rented[best]++;
+      machinesIn[o.zone()]++;
+      Line l = new Line(o, s.nowMs());
+      lines.add(l);
+      full.clear();
+      long at = s.nowMs() + o.bootMs();
+      for (int n = o.size().times(w.size()); n > 0 && a.left > keep && a.mayUse(l); n--) {
+        take(a, l, at);
+        shortCores += w.size().cores();
       }
-      return free;
     }
+  }
 
-    long firstFit(long fromMs, long runMs, Size need) {
-      long best = Long.MAX_VALUE;
-      for (Step r : steps) {
-        if (r.atMs() >= fromMs
-            && r.atMs() < best
-            && r.size().cores() > 0
-            && fits(r.atMs(), runMs, need)) {
-          best = r.atMs();
-        }
+  /** The cheapest kind; of two zones at the same price the one with fewer of our machines. */
+  private int cheapest(Ask a) {
+    int best = -1;
+    for (int i = 0; i < s.offers().size(); i++) {
+      Offer o = s.offers().get(i);
+      if (!o.size().holds(a.w.size()) || !a.mayUse(o.type(), o.zone(), o.spot())) {
+        continue;
+      }
+      Offer b = best < 0 ? null : s.offers().get(best);
+      if (b == null
+          || o.pricePerH() < b.pricePerH()
+          || o.pricePerH() == b.pricePerH() && machinesIn[o.zone()] < machinesIn[b.zone()]) {
+        best = i;
       }
-      return best;
-    }
-
-    void take(long atMs, long runMs, Size need) {
-      taken = true;
-      steps.add(new Step(atMs, new Size(-need.cores(), -need.cards(), -need.ram())));
-      steps.add(new Step(atMs + Math.max(1, runMs), need));
-    }
-
-    /** The task goes now instead of later. */
-    void stop(int i, long nowMs) {
-      Running r = room.running().get(i);
-      stopped.add(i);
-      steps.remove(new Step(Math.max(r.endMs(), nowMs + 1), r.size()));
-      now = now.plus(r.size());
     }
+    return best;
   }
-
-  /** A change of what is free. */
-  private record Step(long atMs, Size size) {}
 }
--- a/src/main/java/dev/windbend/plan/Snapshot.java
+++ b/src/main/java/dev/windbend/plan/Snapshot.java
@@ -3,12 +3,16 @@
 import it.unimi.dsi.fastutil.ints.IntOpenHashSet;
 import java.util.List;
 
-/** All that a round looks at. Every name is a dense index here; times are of the steady clock. */
+/**
+ * All that a round looks at. Every name is a dense index here; times are of the steady clock.
+ * {@code oldestFirst}: this round serves the long overdue before all else.
+ */
 public record Snapshot(
     long nowMs,
     long periodMs,
     long patienceMs,
     int mostRentals,
+    boolean oldestFirst,
     List<Team> teams,
     List<Work> works,
     List<Room> rooms,
@@ -16,6 +20,8 @@
 
   /** Cores, cards and memory. */
   public record Size(double cores, double cards, double ram) {
+    public static final Size NONE = new Size(0, 0, 0);
+
     public Size plus(Size o) {
       return new Size(cores + o.cores, cards + o.cards, ram + o.ram);
     }
@@ -24,6 +30,19 @@
       return new Size(cores - o.cores, cards - o.cards, ram - o.ram);
     }
 
+    public Size least(Size o) {
+      return new Size(Math.min(cores, o.cores), Math.min(cards, o.cards), Math.min(ram, o.ram));
+    }
+
+    /** How many of the other go in. */
+    public int times(Size o) {
+      double n = 1e9;
+      n = o.cores > 0 ? Math.min(n, (cores + 1e-6) / o.cores) : n;
+      n = o.cards > 0 ? Math.min(n, (cards + 1e-6) / o.cards) : n;
+      n = o.ram > 0 ? Math.min(n, (ram + 1e-6) / o.ram) : n;
+      return (int) n;
+    }
+
     public boolean holds(Size o) {
       return cores + 1e-6 >= o.cores && cards + 1e-6 >= o.cards && ram + 1e-6 >= o.ram;
     }
@@ -51,15 +70,21 @@
       long estimateMs,
       long dueMs,
       boolean hopeless,
+      long ageMs,
+      boolean begun,
       long notBeforeMs,
       IntOpenHashSet avoidRooms) {}
 
-  /** A machine: free now if {@code up}, else all of it from {@code readyMs} on. */
+  /**
+   * A machine: free now if {@code up}, else all of it from {@code readyMs} on. {@code hearsMs}: how
+   * long until it can be told to start something.
+   */
   public record Room(
       int type,
       int zone,
       boolean spot,
       boolean up,
+      long hearsMs,
       Size free,
       long readyMs,
       boolean idle,
--- a/src/main/java/dev/windbend/store/Committer.java
+++ b/src/main/java/dev/windbend/store/Committer.java
@@ -23,6 +23,7 @@
   private final long guardVersion;
   private final Runnable lost;
   private final Runnable after;
+  private final long gapMs;
   private final LinkedHashSet<Unit> changed = new LinkedHashSet<>();
   private boolean busy;
   private boolean closed;
@@ -36,6 +37,7 @@
       long guardVersion,
       Runnable lost,
       Runnable after) {
+    this.gapMs = store.gapMs();
     this.loop = loop;
     this.store = store;
     this.guardKey = guardKey;
@@ -51,17 +53,29 @@
   /** Says that the unit has changed; the write follows. */
   public void touch(Unit unit) {
     changed.add(unit);
+    later(0);
+  }
+
+  private void later(long ms) {
     if (!scheduled) {
       scheduled = true;
-      loop.after(0, this::run);
+      loop.after(
+          ms,
+          () -> {
+            scheduled = false;
+            run();
+          });
     }
   }
 
   /** Called now and then, so that changes in no hurry are written too. */
   public void run() {
-    scheduled = false;
     long now = loop.nowMs();
-    if (busy || closed || changed.isEmpty() || now < notBeforeMs) {
+    if (busy || closed || changed.isEmpty()) {
+      return;
+    }
+    if (now < notBeforeMs) {
+      later(notBeforeMs - now);
       return;
     }
     List<Unit> batch = new ArrayList<>();
@@ -87,6 +101,9 @@
     }
     changed.removeAll(batch);
     busy = true;
+    // What changes meanwhile goes together: so changes a second stay the same however much there
+    // is.
+    notBeforeMs = now + gapMs;
     store.commit(draft, outcome -> settle(batch, outcome));
   }
 
@@ -153,7 +170,7 @@
   }
 
   private void again(long ms) {
-    notBeforeMs = loop.nowMs() + ms;
-    loop.after(ms, this::run);
+    notBeforeMs = Math.max(notBeforeMs, loop.nowMs() + ms);
+    run();
   }
 }
--- a/src/main/java/dev/windbend/store/Draft.java
+++ b/src/main/java/dev/windbend/store/Draft.java
@@ -36,6 +36,10 @@
     return this;
   }
 
+  public int conditions() {
+    return conditions.size();
+  }
+
   public int size() {
     return changes.size();
   }
--- a/src/main/java/dev/windbend/store/Rate.java
+++ b/src/main/java/dev/windbend/store/Rate.java
@@ -4,11 +4,14 @@
 
 /** A token bucket of one second's worth that halves when told it was too fast and recovers. */
 public final class Rate {
+  private static final long ONCE_MS = 300;
+
   private final Loop loop;
   private final double most;
   private double perS;
   private double tokens;
   private long atMs;
+  private long slowedMs = Long.MIN_VALUE / 2;
 
   public Rate(Loop loop, double perS) {
     this.loop = loop;
@@ -35,8 +38,13 @@
     take(1);
   }
 
+  /** Refusals of one moment count once. */
   public void slowDown() {
     refill();
+    if (atMs - slowedMs < ONCE_MS) {
+      return;
+    }
+    slowedMs = atMs;
     perS = Math.max(most / 8, perS / 2);
     tokens = Math.min(tokens, 0);
   }
--- a/src/main/java/dev/windbend/store/Replica.java
+++ b/src/main/java/dev/windbend/store/Replica.java
@@ -14,7 +14,6 @@
 public final class Replica {
   private static final Logger LOG = LoggerFactory.getLogger(Replica.class);
   private static final long BLOCK_MS = 10_000;
-  private static final long PAUSE_MS = 100;
 
   private final Loop loop;
   private final StoreClient store;
@@ -110,7 +109,7 @@
             apply(i);
           }
           revision = Math.max(revision, got.revision());
-          loop.after(PAUSE_MS, this::follow);
+          loop.after(store.pauseMs(), this::follow);
         });
   }
 
--- a/src/main/java/dev/windbend/store/StoreClient.java
+++ b/src/main/java/dev/windbend/store/StoreClient.java
@@ -7,12 +7,15 @@
 import java.util.ArrayDeque;
 import java.util.List;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Calls the state service, each with a time-out, under this node's part of both rate limits. Calls
  * that must wait for the rate queue up to a bound; over it they are refused at once.
  */
 public final class StoreClient {
+  private static final Logger LOG = LoggerFactory.getLogger(StoreClient.class);
   private static final long LIMIT_MS = 2_000;
   private static final int QUEUE = 400;
 
@@ -22,8 +25,13 @@
   private final int ops;
   private final Rate reads;
   private final Rate writes;
-  private final ArrayDeque<Waiting> queue = new ArrayDeque<>();
+  private final ArrayDeque<Waiting> first = new ArrayDeque<>();
+  private final ArrayDeque<Waiting> later = new ArrayDeque<>();
+  private final ArrayDeque<Waiting> asking = new ArrayDeque<>();
+  private final long gapMs;
+  private final long pauseMs;
   private boolean pumping;
+  private long pumpAtMs = Long.MAX_VALUE;
   private long lastOkMs;
   private long firstFailMs = -1;
 
@@ -53,9 +61,21 @@
     double share = Math.min(1.0, 1.6 / nodes);
     this.reads = new Rate(loop, rps * share);
     this.writes = new Rate(loop, writeRps * share);
+    this.gapMs = Math.max(50, (long) (2_000 / (writeRps * share)));
+    this.pauseMs = Math.max(50, (long) (1_000 * 4.0 * nodes / rps));
     this.lastOkMs = loop.nowMs();
   }
 
+  /** Least time between an owner's writes: at half of this node's part there is room for more. */
+  long gapMs() {
+    return gapMs;
+  }
+
+  /** Pause between reads of a kind that goes on and on: each kind of all nodes takes a quarter. */
+  public long pauseMs() {
+    return pauseMs;
+  }
+
   public int opsLimit() {
     return ops;
   }
@@ -71,9 +91,11 @@
 
   public void get(String key, Consumer<Got> done) {
     paced(
+        asking,
         0,
         () ->
             send(
+                0,
                 "GET",
                 "/keys/" + key,
                 null,
@@ -92,11 +114,13 @@
   }
 
   public void list(String prefix, String from, Consumer<Listed> done) {
-    String path = "/keys?prefix=" + prefix + (from == null ? "" : "&from=" + from) + "&limit=200";
+    String path = "/keys?prefix=" + prefix + (from == null ? "" : "&from=" + from) + "&limit=1000";
     paced(
+        asking,
         0,
         () ->
             send(
+                0,
                 "GET",
                 path,
                 null,
@@ -117,15 +141,26 @@
         () -> done.accept(new Listed(false, List.of(), false, 0)));
   }
 
+  /** Compares only, or writes for a user: goes before what owners write. */
+  public void commitFirst(Draft draft, Consumer<Outcome> done) {
+    commit(draft.size() == 0 ? asking : first, draft, done);
+  }
+
   public void commit(Draft draft, Consumer<Outcome> done) {
+    commit(later, draft, done);
+  }
+
+  private void commit(ArrayDeque<Waiting> lane, Draft draft, Consumer<Outcome> done) {
     byte[] body =
         Json.write(
             new StoreMessages.Transaction(
                 List.copyOf(draft.conditions), List.copyOf(draft.changes)));
     paced(
+        lane,
         draft.size(),
         () ->
             send(
+                draft.size(),
                 "POST",
                 "/txn",
                 body,
@@ -153,6 +188,7 @@
   public void hold(long lifeMs, Consumer<Long> done) {
     reads.force();
     send(
+        0,
         "POST",
         "/holds",
         Json.write(new StoreMessages.Life(lifeMs)),
@@ -168,6 +204,7 @@
   public void renew(long lease, Consumer<Integer> done) {
     reads.force();
     send(
+        0,
         "POST",
         "/holds/" + lease + "/renew",
         new byte[0],
@@ -205,7 +242,12 @@
   }
 
   private void send(
-      String method, String path, byte[] body, long limitMs, Consumer<Web.Reply> done) {
+      int changes,
+      String method,
+      String path,
+      byte[] body,
+      long limitMs,
+      Consumer<Web.Reply> done) {
     web.call(
         address,
         method,
@@ -214,8 +256,8 @@
         limitMs,
         reply -> {
           if (reply.status() == 429) {
-            reads.slowDown();
-            writes.slowDown();
+            LOG.debug("too fast: {}", path);
+            (changes > 0 ? writes : reads).slowDown();
           }
           if (reply.status() == 0 || reply.status() == 503) {
             firstFailMs = firstFailMs < 0 ? loop.nowMs() : firstFailMs;
@@ -227,35 +269,53 @@
         });
   }
 
-  private void paced(int writeCost, Runnable send, Runnable refuse) {
-    if (queue.size() >= QUEUE) {
+  private void paced(ArrayDeque<Waiting> lane, int writeCost, Runnable send, Runnable refuse) {
+    if (lane.size() >= QUEUE) {
       refuse.run();
       return;
     }
-    queue.add(new Waiting(writeCost, send, refuse));
+    lane.add(new Waiting(writeCost, send, refuse));
     pump();
   }
 
+  /** Users' writes first, then owners', and reads beside them: none waits behind another kind. */
   private void pump() {
     if (pumping) {
       return;
     }
     pumping = true;
     try {
-      while (!queue.isEmpty()) {
-        Waiting w = queue.peek();
-        long wait = Math.max(reads.waitMs(1), writes.waitMs(w.writeCost));
-        if (wait > 0) {
-          loop.after(wait, this::pump);
-          return;
-        }
-        queue.poll();
-        reads.take(1);
-        writes.take(w.writeCost);
-        w.send.run();
+      long wait = drain(first);
+      wait = Math.min(wait, first.isEmpty() ? drain(later) : Long.MAX_VALUE);
+      wait = Math.min(wait, drain(asking));
+      long at = wait == Long.MAX_VALUE ? wait : loop.nowMs() + wait;
+      if (at < pumpAtMs) {
+        pumpAtMs = at;
+        loop.after(
+            wait,
+            () -> {
+              pumpAtMs = Long.MAX_VALUE;
+              pump();
+            });
       }
     } finally {
       pumping = false;
     }
   }
+
+  /** Sends what may go; says how long the rest must wait. */
+  private long drain(ArrayDeque<Waiting> lane) {
+    while (!lane.isEmpty()) {
+      Waiting w = lane.peek();
+      long wait = Math.max(reads.waitMs(1), w.writeCost > 0 ? writes.waitMs(w.writeCost) : 0);
+      if (wait > 0) {
+        return wait;
+      }
+      lane.poll();
+      reads.take(1);
+      writes.take(w.writeCost);
+      w.send.run();
+    }
+    return Long.MAX_VALUE;
+  }
 }
--- /dev/null
+++ b/src/main/java/dev/windbend/worker/Reports.java
@@ -0,0 +1,245 @@
+package dev.windbend.worker;
+
+import dev.windbend.daemon.io.Loop;
+import dev.windbend.daemon.io.Web;
+import dev.windbend.job.Placement;
+import dev.windbend.machine.Fleet;
+import dev.windbend.machine.Machine;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Takes the reports of a part's workers and answers each, at once or when there is news. */
+public final class Reports {
+  private static final Logger LOG = LoggerFactory.getLogger(Reports.class);
+
+  /** A worker drops an answer after 4 s; this leaves time for the way and for a slow node. */
+  private static final long LONGEST_HOLD_MS = 2_600;
+
+  private static final long RECALL_SLACK_MS = 1_000;
+
+  private final Loop loop;
+  private final Fleet fleet;
+  private final WorkerDesk desk;
+  private final Host host;
+  private final long token;
+  private final long reportMs;
+  private final long leaseMs;
+  private final long idleHoldMs;
+  private final Map<Machine, Waiting> waiting = new LinkedHashMap<>();
+
+  /** What is needed of the part's owner. */
+  public interface Host {
+    boolean mayAct();
+
+    /** Unsure of our claim: nobody else could use the workers now. */
+    boolean mayKeepWorkers();
+
+    /** Room was freed, or a machine leaves. */
+    void wantRound();
+
+    void roundNow();
+  }
+
+  /** A report whose answer waits for a write, or for work. */
+  private record Waiting(
+      Machine machine,
+      WorkerMessages.Report report,
+      long untilMs,
+      boolean idle,
+      Consumer<Web.Answer> done) {}
+
+  public Reports(
+      Loop loop,
+      Fleet fleet,
+      WorkerDesk desk,
+      Host host,
+      long token,
+      double reportS,
+      double leaseS,
+      double idleHold) {
+    this.loop = loop;
+    this.fleet = fleet;
+    this.desk = desk;
+    this.host = host;
+    this.token = token;
+    this.reportMs = (long) (1000 * reportS);
+    this.leaseMs = (long) (1000 * leaseS);
+    this.idleHoldMs = Math.min(LONGEST_HOLD_MS, (long) (1000 * reportS * idleHold));
+  }
+
+  public void close() {
+    waiting.values().forEach(w -> w.done().accept(Web.Answer.bare(503)));
+    waiting.clear();
+  }
+
+  public void report(WorkerMessages.Report r, Consumer<Web.Answer> done) {
+    Machine m = fleet.find(r.machine());
+    long fence = m == null ? 0 : m.token(token);
+    if (m == null || m.moved() || r.token() > fence) {
+      done.accept(Web.Answer.bare(503));
+      return;
+    }
+    long now = loop.nowMs();
+    if (!m.newer(r.shift(), r.tally())) {
+      // A late copy, or held back by the network: older than what we know, and nobody waits for the
+      // answer. It proves nothing and renews nothing.
+      done.accept(answer(m, List.of()));
+      return;
+    }
+    release(m);
+    listen(m, r, fence, now);
+    m.shift = r.shift();
+    m.tally = r.tally();
+    m.seenMs = now;
+    m.confirmed = r.token() == fence;
+    if (r.recallS() != null && m.recallMs < 0) {
+      m.recallMs = now + (long) (r.recallS() * 1000);
+      m.draining = true;
+      LOG.info("{} is recalled in {} s", m.name, r.recallS());
+      host.wantRound();
+    }
+    if (!m.confirmed || !host.mayAct()) {
+      // Unsure of our hold, we only keep leases alive: nobody takes a lease's end for proof, and a
+      // successor's token is higher. Not if others are served: then the workers should find them.
+      boolean keep = host.mayAct() || host.mayKeepWorkers();
+      m.answered |= keep && host.mayAct();
+      done.accept(keep ? answer(m, List.of()) : Web.Answer.bare(503));
+      return;
+    }
+    if (m.draining) {
+      // What has not started there never will: without this it would stay placed for ever.
+      m.tasks.values().stream().filter(p -> !p.seen && !p.inherited).forEach(p -> p.stop(0));
+    }
+    boolean free = m.tasks.isEmpty();
+    int before = m.tasks.size();
+    m.listening = true;
+    desk.absorb(m, r, now);
+    if (m.recallMs >= 0) {
+      drain(m, now);
+    }
+    if (m.tasks.size() < before || free) {
+      host.roundNow();
+    }
+    if (writePending(m)) {
+      await(new Waiting(m, r, now + LONGEST_HOLD_MS, false, done));
+    } else if (hasRoom(m) && desk.orders(m, r, false).isEmpty() && !startPending(m)) {
+      // With room and nothing to do, it hears of new work at once instead of at its next report.
+      await(new Waiting(m, r, now + idleHoldMs, true, done));
+    } else {
+      answerNow(new Waiting(m, r, now, false, done));
+    }
+  }
+
+  /**
+   * Whether it hears us: an answer gives it our token, and a start shows in the next report. A
+   * machine that keeps reporting but does neither gets no more work and is given back. Its session
+   * ends too, as no answer renews its lease.
+   */
+  private void listen(Machine m, WorkerMessages.Report r, long fence, long now) {
+    if (m.shift < 0) {
+      return;
+    }
+    boolean missed = m.answered && r.token() < fence;
+    if (r.shift() > m.shift) {
+      missed |= m.confirmed && now - m.seenMs < leaseMs / 2;
+    } else {
+      missed |= desk.startMissing(m, r);
+    }
+    m.unheard = missed ? m.unheard + 1 : 0;
+  }
+
+  private void await(Waiting w) {
+    waiting.put(w.machine(), w);
+    loop.after(
+        w.untilMs() - loop.nowMs(),
+        () -> {
+          if (waiting.remove(w.machine(), w)) {
+            answerNow(w);
+          }
+        });
+  }
+
+  /** The worker has given up on the answer that waits: a newer report has come. */
+  private void release(Machine m) {
+    Waiting w = waiting.remove(m);
+    if (w != null) {
+      w.done().accept(answer(m, List.of()));
+    }
+  }
+
+  private static boolean hasRoom(Machine m) {
+    double free = m.type.cores();
+    for (Placement p : m.tasks.values()) {
+      free -= p.job.spec.cores();
+    }
+    return free >= 1 && !m.draining && !m.returning && m.recorded();
+  }
+
+  private static boolean startPending(Machine m) {
+    for (Placement p : m.tasks.values()) {
+      if (!p.seen && p.job.startable(p)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Tasks that can save do so in time; the others may still finish before the machine goes. */
+  private void drain(Machine m, long now) {
+    for (Placement p : m.tasks.values()) {
+      double saveS = p.job.spec.saveS();
+      if (p.job.spec.checkpointS() > 0
+          && now + RECALL_SLACK_MS + saveS * 1000 + 2 * reportMs >= m.recallMs) {
+        p.stop(saveS + 1);
+      }
+    }
+  }
+
+  private static boolean writePending(Machine m) {
+    for (Placement p : m.tasks.values()) {
+      if (!p.inherited && !p.seen && !p.stopping() && !p.job.startable(p)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private void answerNow(Waiting w) {
+    Machine m = w.machine();
+    m.listening = false;
+    boolean newest = m.shift == w.report().shift() && m.tally == w.report().tally();
+    boolean act = host.mayAct();
+    boolean mayStart = act && !m.returning && !m.draining && m.recorded();
+    m.answered |= act;
+    w.done().accept(answer(m, newest && act ? desk.orders(m, w.report(), mayStart) : List.of()));
+  }
+
+  private Web.Answer answer(Machine m, List<WorkerMessages.Order> orders) {
+    return Web.Answer.of(200, new WorkerMessages.Orders(m.token(token), orders));
+  }
+
+  /** Something was written or planned: answers that waited for it go out. */
+  public void answerWaiting() {
+    if (waiting.isEmpty()) {
+      return;
+    }
+    List<Waiting> ready = new ArrayList<>();
+    for (Waiting w : waiting.values()) {
+      Machine m = w.machine();
+      boolean news = !w.idle() || startPending(m) || !hasRoom(m) && !writePending(m);
+      if (news && !writePending(m)) {
+        ready.add(w);
+      }
+    }
+    for (Waiting w : ready) {
+      if (waiting.remove(w.machine(), w)) {
+        answerNow(w);
+      }
+    }
+  }
+}
--- a/src/main/java/dev/windbend/worker/WorkerDesk.java
+++ b/src/main/java/dev/windbend/worker/WorkerDesk.java
@@ -80,6 +80,22 @@
             && (p.sentShift < r.shift() || p.sentShift == r.shift() && p.sentTally < r.tally());
   }
 
+  /** A start went out in the answer to an earlier report, and this one does not show it. */
+  boolean startMissing(Machine m, Report r) {
+    for (Placement p : m.tasks.values()) {
+      if (!p.seen && !p.stopping() && p.sentShift == r.shift() && p.sentTally < r.tally()) {
+        boolean shown = false;
+        for (TaskState t : r.tasks()) {
+          shown |= t.attempt() == p.attempt && t.task().equals(p.taskName());
+        }
+        if (!shown) {
+          return true;
+        }
+      }
+    }
+    return false;
+  }
+
   private void leave(Machine m, Placement p, long nowMs) {
     m.remove(p, nowMs);
     p.job.gone(p, nowMs);
