--- a/src/main/java/dev/windbend/daemon/Node.java
+++ b/src/main/java/dev/windbend/daemon/Node.java
@@ -11,7 +11,7 @@
 import dev.windbend.machine.Catalog;
 import dev.windbend.machine.CloudClient;
 import dev.windbend.machine.Directory;
-import dev.windbend.machine.MachineRecord;
+import dev.windbend.machine.HireRecord;
 import dev.windbend.machine.MachineType;
 import dev.windbend.overload.Gate;
 import dev.windbend.part.Claims;
@@ -186,10 +186,9 @@
       for (Owner o : List.copyOf(owners.values())) {
         o.jobChanged(uid, now);
       }
-    } else if (key.startsWith(MachineRecord.KEYS)) {
-      String name = key.substring(MachineRecord.KEYS.length());
+    } else if (key.startsWith(HireRecord.KEYS)) {
       for (Owner o : List.copyOf(owners.values())) {
-        o.machineChanged(name, now);
+        o.hireChanged(key, now);
       }
     }
   }
--- a/src/main/java/dev/windbend/machine/Directory.java
+++ b/src/main/java/dev/windbend/machine/Directory.java
@@ -2,7 +2,6 @@
 
 import dev.windbend.daemon.io.Json;
 import dev.windbend.store.Stored;
-import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -12,8 +11,9 @@
 public final class Directory {
   private static final int FORMER_KEPT = 4_000;
 
-  private final Object2IntOpenHashMap<String> own = new Object2IntOpenHashMap<>();
-  private final Object2IntOpenHashMap<String> rented = new Object2IntOpenHashMap<>();
+  private record Home(String key, int part, long fence) {}
+
+  private final Map<String, Home> homes = new HashMap<>();
   private final Map<String, List<String>> listed = new HashMap<>();
 
   /** Machines that were on record: late copies of their reports do not bring them back. */
@@ -27,53 +27,45 @@
         }
       };
 
-  public Directory() {
-    own.defaultReturnValue(-1);
-    rented.defaultReturnValue(-1);
-  }
-
   /** A record has changed; null: it is gone. */
   public void changed(String key, Stored now) {
-    if (key.startsWith(MachineRecord.KEYS)) {
-      String name = key.substring(MachineRecord.KEYS.length());
-      MachineRecord r = now == null ? null : Json.read(now.value(), MachineRecord.class);
-      if (r != null) {
-        own.put(name, r.part());
-      } else {
-        own.removeInt(name);
-        former.put(name, true);
-      }
-    } else if (key.startsWith(HireRecord.KEYS)) {
-      HireRecord r = now == null ? null : Json.read(now.value(), HireRecord.class);
-      List<String> after = r == null || r.open() ? List.of() : r.machines();
-      for (String name : listed.getOrDefault(key, List.of())) {
-        rented.removeInt(name);
+    if (!key.startsWith(HireRecord.KEYS)) {
+      return;
+    }
+    HireRecord r = now == null ? null : Json.read(now.value(), HireRecord.class);
+    List<String> after = r == null || r.open() ? List.of() : r.machines();
+    for (String name : listed.getOrDefault(key, List.of())) {
+      Home h = homes.get(name);
+      if (h != null && h.key.equals(key) && !after.contains(name)) {
+        homes.remove(name);
         former.put(name, true);
       }
-      for (String name : after) {
-        rented.put(name, HireRecord.part(key));
-        former.remove(name);
-      }
-      if (after.isEmpty()) {
-        listed.remove(key);
-      } else {
-        listed.put(key, after);
-      }
+    }
+    for (String name : after) {
+      Home h = new Home(key, HireRecord.part(key), r.fence(now.version()));
+      homes.merge(name, h, (a, b) -> a.fence > b.fence ? a : b);
+    }
+    if (after.isEmpty()) {
+      listed.remove(key);
+    } else {
+      listed.put(key, after);
     }
   }
 
   /** -1: nobody's. */
   public int partOf(String machine) {
-    int p = own.getInt(machine);
-    return p >= 0 ? p : rented.getInt(machine);
+    Home h = homes.get(machine);
+    return h == null ? -1 : h.part;
   }
 
-  public boolean hasOwnRecord(String machine) {
-    return own.containsKey(machine);
+  public boolean knows(String machine) {
+    return homes.containsKey(machine);
   }
 
-  public boolean knows(String machine) {
-    return partOf(machine) >= 0;
+  /** Of all records that name the machine, this one counts. */
+  boolean names(String key, String machine) {
+    Home h = homes.get(machine);
+    return h != null && h.key.equals(key);
   }
 
   public boolean knew(String machine) {
--- a/src/main/java/dev/windbend/machine/Fleet.java
+++ b/src/main/java/dev/windbend/machine/Fleet.java
@@ -40,7 +40,7 @@
   private final Object2LongOpenHashMap<String> refusedUntil = new Object2LongOpenHashMap<>();
   private final Map<String, Long> unknownSince = new HashMap<>();
 
-  /** Last known versions of machines that left, so that old news do not bring them back. */
+  /** Fences of machines that left, so that old news does not bring them back. */
   private final Object2LongOpenHashMap<String> left = new Object2LongOpenHashMap<>();
 
   private long sequence;
@@ -82,37 +82,34 @@
   }
 
   /**
-   * A rental found in the state service. Without an answer it is asked again under its name, else
-   * its machines are this part's but for those that have records of their own.
+   * A record found in the state service, or just given to this part. A rental without an answer is
+   * asked again under its name; of the others the machines are this part's unless a later record
+   * names them.
    */
-  public void restore(
-      String name, HireRecord record, long version, Predicate<String> hasOwnRecord) {
+  public void restore(String name, HireRecord record, long version, Directory directory) {
+    if (hires.containsKey(name)) {
+      return;
+    }
     Hire h = hire(name, record, version);
     if (h == null || record.open()) {
       return;
     }
     for (String n : record.machines()) {
-      if (!machines.containsKey(n) && !hasOwnRecord.test(n)) {
-        Machine m = add(n, h.type, record.zone(), record.spot(), part, h, 0, loop.nowMs());
-        m.listed();
-        h.machines.add(m);
+      if (directory.names(h.key, n) && (!left.containsKey(n) || left.getLong(n) < h.fence)) {
+        Machine former = machines.get(n);
+        if (former != null) {
+          leave(former);
+        }
+        add(n, h, loop.nowMs()).listed();
       }
     }
     if (h.machines.size() < record.machines().size()) {
+      h.changed(loop.nowMs(), false);
+      host.touch(h);
       afterWrite();
     }
   }
 
-  /** A machine found in the state service, or given to this part by another. */
-  public boolean restore(String name, MachineRecord record, long version) {
-    MachineType type = catalog.find(record.type());
-    if (machines.containsKey(name) || type == null || version <= left.getLong(name)) {
-      return false;
-    }
-    add(name, type, record.zone(), record.spot(), part, null, version, loop.nowMs());
-    return true;
-  }
-
   private Hire hire(String name, HireRecord record, long version) {
     MachineType type = catalog.find(record.type());
     if (type == null) {
@@ -125,32 +122,10 @@
     return h;
   }
 
-  private Machine add(
-      String name,
-      MachineType type,
-      String zone,
-      boolean spot,
-      int to,
-      Hire hire,
-      long version,
-      long rentedMs) {
-    Machine m =
-        new Machine(
-            name,
-            type,
-            catalog.zones.index(zone),
-            zone,
-            spot,
-            part,
-            hire,
-            version,
-            rentedMs,
-            loop.nowMs());
-    m.moveTo(to);
+  private Machine add(String name, Hire hire, long rentedMs) {
+    Machine m = new Machine(name, hire, rentedMs, loop.nowMs());
     machines.put(name, m);
-    if (m.dirty()) {
-      host.touch(m);
-    }
+    hire.machines.add(m);
     return m;
   }
 
@@ -184,7 +159,12 @@
           hire(
               name,
               new HireRecord(
-                  type.name(), catalog.zones.name(zone), spot, Math.min(left, HIRE_BATCH), null),
+                  type.name(),
+                  catalog.zones.name(zone),
+                  spot,
+                  Math.min(left, HIRE_BATCH),
+                  null,
+                  null),
               0);
       host.touch(h);
       LOG.info(
@@ -197,30 +177,40 @@
     }
   }
 
-  /** Takes in, for some part, a machine that nobody rented under a known name. */
-  void adopt(String name, Stray stray, int to) {
-    MachineType type = catalog.find(stray.type());
-    if (!machines.containsKey(name) && type != null) {
-      LOG.info("adopting {} for part {}", name, to);
-      add(name, type, stray.zone(), stray.spot(), to, null, 0, loop.nowMs());
+  /** Gives machines that nobody has on record to a part, which may be this one. */
+  void adopt(Stray kind, List<String> names, int to) {
+    LOG.info("adopting {} for part {}", names, to);
+    grant(new HireRecord(kind.type(), kind.zone(), kind.spot(), 0, names, 0L), to, () -> {});
+  }
+
+  /** Gives empty machines to another part; they are used no more from now on. */
+  public void lend(Collection<Machine> given, int to) {
+    Map<String, List<Machine>> kinds = new LinkedHashMap<>();
+    for (Machine m : given) {
+      m.lent();
+      kinds.computeIfAbsent(kind(m.type.index(), m.zone, m.spot), k -> new ArrayList<>()).add(m);
+    }
+    for (List<Machine> group : kinds.values()) {
+      for (int i = 0; i < group.size(); i += HIRE_BATCH) {
+        List<Machine> some = List.copyOf(group.subList(i, Math.min(group.size(), i + HIRE_BATCH)));
+        List<String> names = some.stream().map(m -> m.name).toList();
+        LOG.info("lending {} to part {}", names, to);
+        Machine m = some.get(0);
+        grant(
+            new HireRecord(m.type.name(), catalog.zones.name(m.zone), m.spot, 0, names, 0L),
+            to,
+            () -> some.forEach(this::leave));
+      }
     }
   }
 
-  /** Gives an empty machine to another part; used no more from now on. */
-  public void lend(Machine m, int to) {
-    LOG.info("lending {} to part {}", m.name, to);
-    m.moveTo(to);
-    host.touch(m);
+  private void grant(HireRecord record, int to, Runnable done) {
+    String key = HireRecord.prefix(to) + "g" + part + "-" + token + "-" + ++sequence;
+    host.touch(new Grant(key, record, done));
   }
 
   /** Takes note of what has been written: machines given away, rentals that are complete. */
   public void afterWrite() {
-    long now = loop.nowMs();
-    for (Machine m : List.copyOf(machines.values())) {
-      if (m.moved()) {
-        leave(m, now);
-      }
-    }
     for (Hire h : List.copyOf(hires.values())) {
       if (h.answered && h.machines.isEmpty()) {
         drop(h);
@@ -228,13 +218,12 @@
     }
   }
 
-  private void leave(Machine m, long now) {
-    machines.remove(m.name);
-    left.put(m.name, m.version());
-    if (m.hire != null) {
-      m.hire.without(m, now);
-      host.touch(m.hire);
+  private void leave(Machine m) {
+    if (machines.remove(m.name, m)) {
+      left.put(m.name, m.hire.fence);
     }
+    m.hire.without(m, loop.nowMs());
+    host.touch(m.hire);
   }
 
   public void giveBack(Machine m, String why) {
@@ -284,10 +273,7 @@
   private void returned(Machine m) {
     leaving.remove(m);
     m.gone = true;
-    leave(m, loop.nowMs());
-    if (m.dirty()) {
-      host.touch(m);
-    }
+    leave(m);
     host.gone(m);
   }
 
@@ -305,8 +291,7 @@
               h.asking = false;
               for (String n : names) {
                 if (!machines.containsKey(n) && !left.containsKey(n)) {
-                  h.machines.add(
-                      add(n, h.type, h.asked.zone(), h.asked.spot(), part, h, 0, h.madeMs));
+                  add(n, h, h.madeMs);
                 }
               }
               h.answered(loop.nowMs());
--- a/src/main/java/dev/windbend/machine/Hire.java
+++ b/src/main/java/dev/windbend/machine/Hire.java
@@ -7,9 +7,9 @@
 import java.util.List;
 
 /**
- * One rental, kept in one record: before the cloud is asked, with its machines once it has
- * answered, and until none of them is left with this part. A record for each machine would take
- * most of the changes that the state service allows.
+ * One rental, or machines given together, kept in one record: before the cloud is asked, with its
+ * machines once it has answered, and until none of them is left with this part. A record for each
+ * machine would take most of the changes that the state service allows.
  */
 final class Hire implements Unit {
   private static final long LAZY_MS = 8_000;
@@ -21,6 +21,9 @@
   final HireRecord asked;
   final long madeMs;
 
+  /** From this token on only this part may command its machines; 0: rented by this part. */
+  final long fence;
+
   /** Those still with this part. */
   final List<Machine> machines = new ArrayList<>();
 
@@ -50,6 +53,7 @@
     this.type = type;
     this.zone = zone;
     this.version = version;
+    this.fence = asked.fence(version);
     this.madeMs = nowMs;
     this.answered = !asked.open();
     if (version == 0) {
@@ -57,7 +61,7 @@
     }
   }
 
-  private void changed(long nowMs, boolean soon) {
+  void changed(long nowMs, boolean soon) {
     if (changes == written) {
       sinceMs = nowMs;
     }
@@ -114,7 +118,14 @@
     } else {
       List<String> names = answered ? machines.stream().map(m -> m.name).toList() : null;
       draft.put(
-          key, new HireRecord(asked.type(), asked.zone(), asked.spot(), asked.count(), names));
+          key,
+          new HireRecord(
+              asked.type(),
+              asked.zone(),
+              asked.spot(),
+              asked.count(),
+              names,
+              fence > 0 ? fence : null));
       machines.forEach(m -> m.listing = true);
     }
   }
--- a/src/main/java/dev/windbend/machine/HireRecord.java
+++ b/src/main/java/dev/windbend/machine/HireRecord.java
@@ -4,23 +4,29 @@
 import java.util.List;
 
 /**
- * A rental as stored, from before the cloud is asked until none of its machines is left with this
- * part. {@code machines} null: the cloud has not answered yet.
+ * Machines of one kind that came to a part together, as stored until none of them is left with it.
+ * Either a rental, stored before the cloud is asked ({@code machines} null: it has not answered
+ * yet), or machines that another part gave or that were found.
+ *
+ * @param fence null: a rental; 0: given, and this record's version is the token from which on only
+ *     the receiver may command the machines; else that version, kept when the record is rewritten.
+ *     Of several records that name a machine the one with the highest counts.
  */
 public record HireRecord(
     @JsonProperty("type") String type,
     @JsonProperty("zone") String zone,
     @JsonProperty("spot") boolean spot,
     @JsonProperty("count") int count,
-    @JsonProperty("machines") List<String> machines) {
-  /** Below it: part, then the rental's name. */
+    @JsonProperty("machines") List<String> machines,
+    @JsonProperty("fence") Long fence) {
+  /** Below it: part, then the name. */
   public static final String KEYS = "w/h/";
 
   public static String prefix(int part) {
     return KEYS + part + "/";
   }
 
-  /** The part of a rental's key, -1 if it is none. */
+  /** The part of a key, -1 if it has none. */
   static int part(String key) {
     int end = key.indexOf('/', KEYS.length());
     try {
@@ -33,4 +39,8 @@
   public boolean open() {
     return machines == null;
   }
+
+  long fence(long version) {
+    return fence == null ? 0 : fence > 0 ? fence : version;
+  }
 }
--- a/src/main/java/dev/windbend/machine/Strays.java
+++ b/src/main/java/dev/windbend/machine/Strays.java
@@ -3,8 +3,10 @@
 import dev.windbend.daemon.io.Json;
 import dev.windbend.daemon.io.Loop;
 import dev.windbend.store.StoreClient;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -16,7 +18,7 @@
  */
 public final class Strays {
   private static final long PAUSE_MS = 1_000;
-  private static final int MOST = 2_000;
+  private static final int MOST = 150;
 
   private final Loop loop;
   private final StoreClient store;
@@ -79,12 +81,22 @@
             return;
           }
           looking = false;
-          open.forEach(
-              (name, stray) -> {
-                if (!taken.contains(name)) {
-                  fleet.adopt(name, stray, next++ % parts);
-                }
-              });
+          open.keySet().removeAll(taken);
+          deal(open);
         });
   }
+
+  private void deal(Map<String, Stray> found) {
+    List<Map<Stray, List<String>>> hands = new ArrayList<>();
+    for (int p = 0; p < parts; p++) {
+      hands.add(new LinkedHashMap<>());
+    }
+    found.forEach(
+        (name, kind) ->
+            hands.get(next++ % parts).computeIfAbsent(kind, k -> new ArrayList<>()).add(name));
+    for (int p = 0; p < parts; p++) {
+      int to = p;
+      hands.get(p).forEach((kind, names) -> fleet.adopt(kind, names, to));
+    }
+  }
 }
--- a/src/main/java/dev/windbend/machine/Watch.java
+++ b/src/main/java/dev/windbend/machine/Watch.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 
 /** Finds machines of a part that are silent, deaf, never came up, or are due to leave. */
 public final class Watch {
@@ -37,6 +39,7 @@
     int[] heard = new int[zones];
     int[] missed = new int[zones];
     int talking = 0;
+    Map<Integer, List<Machine>> promised = new TreeMap<>();
     for (Machine m : List.copyOf(fleet.machines())) {
       if (m.returning) {
         continue;
@@ -62,9 +65,10 @@
       if (m.recallMs >= 0 && now > m.recallMs + RECALL_SLACK_MS || empty && m.promisedTo < 0) {
         fleet.giveBack(m, "drained");
       } else if (empty && m.confirmed && m.recorded()) {
-        fleet.lend(m, m.promisedTo);
+        promised.computeIfAbsent(m.promisedTo, k -> new ArrayList<>()).add(m);
       }
     }
+    promised.forEach((to, machines) -> fleet.lend(machines, to));
     for (Machine m : silent) {
       // Most of a zone at once looks like a cut: the tasks go on behind it, so they get their
       // whole lease.
--- a/src/main/java/dev/windbend/part/Loans.java
+++ b/src/main/java/dev/windbend/part/Loans.java
@@ -16,8 +16,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(Loans.class);
   private static final long ASK_GAP_MS = 1_000;
 
-  /** Each costs a change in the state service, where a rental of fifty costs two. */
-  private static final int MOST = 4;
+  private static final int MOST = 100;
 
   private final int part;
   private final Loop loop;
@@ -83,18 +82,21 @@
    * machines by which this part is above its own, as soon as they are empty.
    */
   int lend(int to, int count, boolean guaranteed) {
-    int given = 0;
-    for (Machine m : List.copyOf(spare)) {
-      if (given < count && m.usable(loop.nowMs()) && m.tasks.isEmpty() && fleet.find(m.name) == m) {
-        spare.remove(m);
-        fleet.lend(m, to);
-        given++;
+    List<Machine> given = new ArrayList<>();
+    for (Machine m : spare) {
+      if (given.size() < count
+          && m.usable(loop.nowMs())
+          && m.tasks.isEmpty()
+          && fleet.find(m.name) == m) {
+        given.add(m);
       }
     }
-    if (guaranteed && given < count) {
-      promise(to, count - given);
+    spare.removeAll(given);
+    fleet.lend(given, to);
+    if (guaranteed && given.size() < count) {
+      promise(to, count - given.size());
     }
-    return given;
+    return given.size();
   }
 
   /** To a part below its guarantee: what this part has above its own. */
--- a/src/main/java/dev/windbend/part/Owner.java
+++ b/src/main/java/dev/windbend/part/Owner.java
@@ -15,7 +15,6 @@
 import dev.windbend.machine.Fleet;
 import dev.windbend.machine.HireRecord;
 import dev.windbend.machine.Machine;
-import dev.windbend.machine.MachineRecord;
 import dev.windbend.machine.Stray;
 import dev.windbend.machine.Strays;
 import dev.windbend.machine.Watch;
@@ -158,16 +157,9 @@
       return;
     }
     long now = loop.nowMs();
-    for (Map.Entry<String, Stored> e : replica.below(MachineRecord.KEYS).entrySet()) {
-      machineChanged(e.getKey().substring(MachineRecord.KEYS.length()), e.getValue());
-    }
     String hires = HireRecord.prefix(part);
     for (Map.Entry<String, Stored> e : replica.below(hires).entrySet()) {
-      HireRecord r = Json.read(e.getValue().value(), HireRecord.class);
-      if (r != null) {
-        String name = e.getKey().substring(hires.length());
-        fleet.restore(name, r, e.getValue().version(), directory::hasOwnRecord);
-      }
+      hire(e.getKey().substring(hires.length()), e.getValue());
     }
     Map<String, JsonNode> left = pages.restore(replica.below(JobRecord.pages(part)));
     for (Map.Entry<String, Stored> e : replica.below(JobRecord.LIVE).entrySet()) {
@@ -270,11 +262,19 @@
 
   // ---- machines
 
-  /** A machine's record has changed: it may be ours now. */
-  public void machineChanged(String name, Stored now) {
-    MachineRecord r = now == null ? null : Json.read(now.value(), MachineRecord.class);
-    if (r != null && r.part() == part && fleet.restore(name, r, now.version()) && ready) {
-      LOG.info("{} is ours now", name);
+  /** A record of machines has changed: another part may have given us some. */
+  public void hireChanged(String key, Stored now) {
+    String hires = HireRecord.prefix(part);
+    if (ready() && now != null && key.startsWith(hires)) {
+      hire(key.substring(hires.length()), now);
+      rounds.want();
+    }
+  }
+
+  private void hire(String name, Stored s) {
+    HireRecord r = Json.read(s.value(), HireRecord.class);
+    if (r != null) {
+      fleet.restore(name, r, s.version(), directory);
     }
   }
 
--- a/src/main/java/dev/windbend/worker/Reports.java
+++ b/src/main/java/dev/windbend/worker/Reports.java
@@ -80,7 +80,7 @@
   public void report(WorkerMessages.Report r, Consumer<Web.Answer> done) {
     Machine m = fleet.find(r.machine());
     long fence = m == null ? 0 : m.token(token);
-    if (m == null || m.moved() || r.token() > fence) {
+    if (m == null || r.token() > fence) {
       done.accept(Web.Answer.bare(503));
       return;
     }
