--- a/src/main/java/dev/windbend/daemon/Node.java
+++ b/src/main/java/dev/windbend/daemon/Node.java
@@ -143,6 +143,7 @@
         Math.max(1, f.cloud().listLagS()),
         f.cloud().rps(),
         (int) (1024 * f.state().valueKb()),
+        f.state().writeRps(),
         new Facts.Aims(dueTimes, within));
   }
 
--- a/src/main/java/dev/windbend/job/Board.java
+++ b/src/main/java/dev/windbend/job/Board.java
@@ -11,6 +11,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SortedMap;
 import java.util.function.ToIntFunction;
 
 /** The live jobs of one part, kept in step with their records. */
@@ -41,22 +42,30 @@
    * Takes a job in, with what a former owner left of its tasks. Null if it is not of this part;
    * else its placements are to be confirmed by their machines.
    */
-  public Job take(Stored record, Map<String, JsonNode> left, long nowMs) {
+  public Job take(Stored record, SortedMap<String, JsonNode> left, long nowMs) {
     JobRecord.Live r = Json.read(record.value(), JobRecord.Live.class);
     int team = r == null || r.spec() == null ? -1 : teamHere.applyAsInt(r.spec().team());
     if (team < 0) {
       return null;
     }
     Job job = new Job(r, record.version(), team);
-    List<Entry> entries = job.entries();
-    for (int i = 0; !left.isEmpty() && i < entries.size(); i++) {
-      JsonNode value = left.get(entries.get(i).id());
+    for (Entry e : job.entries()) {
+      JsonNode value = left.get(e.id());
       JobRecord.Piece piece = value == null ? null : Json.read(value, JobRecord.Piece.class);
       if (piece != null) {
-        job.restore(i, piece, nowMs);
-        pages.restored(entries.get(i));
+        job.restore(e, piece);
+        pages.restored(e);
       }
     }
+    String batches = r.spec().uid() + Job.BATCH_MARK;
+    left.subMap(batches, batches + Character.MAX_VALUE)
+        .forEach(
+            (id, value) -> {
+              JobRecord.Batch batch = Json.read(value, JobRecord.Batch.class);
+              if (batch != null) {
+                pages.restored(job.restore(id, batch, nowMs));
+              }
+            });
     jobs.put(r.spec().uid(), job);
     return job;
   }
@@ -72,6 +81,7 @@
         pages.touch(e);
       }
     }
+    job.fresh().forEach(pages::touch);
     committer.touch(pages);
   }
 
@@ -88,6 +98,5 @@
 
   public void forget(Job job) {
     jobs.remove(job.spec.uid());
-    job.entries().forEach(pages::drop);
   }
 }
--- a/src/main/java/dev/windbend/job/Job.java
+++ b/src/main/java/dev/windbend/job/Job.java
@@ -7,8 +7,6 @@
 import dev.windbend.store.Unit;
 import it.unimi.dsi.fastutil.ints.Int2LongOpenHashMap;
 import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
-import it.unimi.dsi.fastutil.longs.LongArrayList;
-import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.Collection;
@@ -16,10 +14,11 @@
 
 /** A live job as its part's owner sees it, with the records that keep it. */
 public final class Job {
-  /** Tasks per record: even with every one placed elsewhere, a piece stays below 4 KiB. */
-  static final int PIECE = 96;
+  /** Tasks whose ends are recorded together. */
+  static final int PIECE = 8_192;
 
   private static final long LAZY_MS = 1_500;
+  private static final int ROUND_BITS = 32;
 
   public final JobSpec spec;
   public final String key;
@@ -38,7 +37,17 @@
   private int doneTotal;
   private int waitingTotal;
   private final Int2ObjectOpenHashMap<Placement> placed = new Int2ObjectOpenHashMap<>();
+
+  /** Done, and not recorded as done yet: which state of the piece will say it. */
   private final Int2LongOpenHashMap doneAt = new Int2LongOpenHashMap();
+
+  /** Placements of such tasks. */
+  private final Int2ObjectOpenHashMap<Placement> ended = new Int2ObjectOpenHashMap<>();
+
+  private final List<Batch> fresh = new ArrayList<>();
+  private Batch current;
+  private long currentRound = -1;
+  private int batches;
   private boolean archived;
   private boolean begun;
 
@@ -82,40 +91,76 @@
     setWaiting(task, false);
   }
 
-  static String pieceId(String uid, int index) {
-    return uid + "/" + index;
-  }
-
-  /** Takes over what the records say; placements come back for the machines to confirm. */
-  List<Placement> restore(int index, JobRecord.Piece record, long nowMs) {
-    List<Placement> all = new ArrayList<>();
-    PieceEntry p = pieces[index];
-    p.nextAttempt = record.nextAttempt();
-    if (record.done() != null) {
-      BitSet d = BitSet.valueOf(record.done());
-      for (int i = d.nextSetBit(0); i >= 0; i = d.nextSetBit(i + 1)) {
-        setDone(index * PIECE + i);
+  /** Takes over what the record says of the ends of tasks. */
+  void restore(Entry entry, JobRecord.Piece record) {
+    int from = ((PieceEntry) entry).index * PIECE;
+    BitSet d = BitSet.valueOf(record.done() == null ? new byte[0] : record.done());
+    for (int i = d.nextSetBit(0); i >= 0; i = d.nextSetBit(i + 1)) {
+      if (from + i < spec.tasks()) {
+        setDone(from + i);
       }
     }
-    long[] at = record.placed() == null ? new long[0] : record.placed();
-    for (int i = 0; i + JobRecord.Piece.RUN <= at.length; i += JobRecord.Piece.RUN) {
-      String machine = record.machines().get((int) at[i + 3]);
-      for (int k = 0; k < at[i + 1]; k++) {
-        int task = index * PIECE + (int) at[i] + k;
-        Placement pl = new Placement(this, task, at[i + 2], machine, 0, true, nowMs);
-        placed.put(task, pl);
+  }
+
+  /**
+   * Takes over placements, for the machines to confirm. Of a task that was placed several times the
+   * last attempt counts: the others were proved gone before it.
+   */
+  Entry restore(String id, JobRecord.Batch record, long nowMs) {
+    Batch batch = new Batch(this, id, record.attempt());
+    batch.restored();
+    batches = Math.max(batches, number(id) + 1);
+    for (int run = 0; run < record.runs(); run++) {
+      String machine = record.machine(run);
+      for (int k = 0; k < record.count(run); k++) {
+        int task = record.first(run) + k;
+        Placement before = placed.get(task);
+        if (done.get(task) || before != null && before.attempt >= record.attempt()) {
+          continue;
+        }
+        if (before != null) {
+          before.batch.close();
+        }
+        Placement p = new Placement(this, task, record.attempt(), machine, batch, true, nowMs);
+        batch.add(p);
+        placed.put(task, p);
         setWaiting(task, false);
-        all.add(pl);
       }
     }
-    return all;
+    return batch;
+  }
+
+  static final char BATCH_MARK = ':';
+
+  private int number(String id) {
+    try {
+      return Integer.parseInt(id.substring(id.lastIndexOf(BATCH_MARK) + 1));
+    } catch (NumberFormatException e) {
+      return 0;
+    }
   }
 
-  /** What the owner keeps of its tasks, in pages. */
-  public List<Entry> entries() {
+  /** What the owner keeps of the ends of its tasks, in pages. */
+  List<Entry> entries() {
     return entries;
   }
 
+  /** What was placed since the last call, to be written. */
+  List<Batch> fresh() {
+    List<Batch> all = List.copyOf(fresh);
+    fresh.clear();
+    return all;
+  }
+
+  long version() {
+    return version;
+  }
+
+  /** A successor must find this placement: it is not proved gone, or its end is not recorded. */
+  boolean needsRecord(Placement p) {
+    return placed.get(p.task) == p || ended.get(p.task) == p;
+  }
+
   public int waitingCount() {
     return cancelled ? 0 : waitingTotal;
   }
@@ -153,51 +198,57 @@
     return waiting.nextSetBit(0);
   }
 
-  /** One attempt number serves all tasks of a piece that a round places: records stay short. */
-  public Placement place(int task, String machine, long nowMs, long round) {
-    PieceEntry p = pieces[task / PIECE];
-    if (p.lastRound != round) {
-      p.lastRound = round;
-      p.nextAttempt++;
-    }
-    p.touched(nowMs, true);
-    Placement pl = new Placement(this, task, p.nextAttempt, machine, p.changes, false, nowMs);
-    placed.put(task, pl);
+  /**
+   * Attempts only grow: by the token from owner to owner, and by the round within an owner's time.
+   * No two attempts of a task are placed in one round.
+   */
+  public Placement place(int task, String machine, long nowMs, long token, long round) {
+    if (current == null || currentRound != round || current.full()) {
+      long attempt = (token << ROUND_BITS) + round;
+      current = new Batch(this, spec.uid() + BATCH_MARK + batches++, attempt);
+      currentRound = round;
+      fresh.add(current);
+    }
+    Placement p = new Placement(this, task, current.attempt(), machine, current, false, nowMs);
+    current.add(p);
+    placed.put(task, p);
     setWaiting(task, false);
     begun = true;
-    return pl;
+    return p;
   }
 
   /** Its start may go out: the record says so. */
   public boolean startable(Placement p) {
-    return !p.inherited
-        && !cancelled
-        && !p.stopping()
-        && pieces[p.task / PIECE].written >= p.version;
+    return !p.inherited && !cancelled && !p.stopping() && p.batch.recorded();
   }
 
-  /** The attempt is proved gone, without having completed. */
-  public void gone(Placement p, long nowMs) {
-    if (placed.get(p.task) == p) {
-      placed.remove(p.task);
-      if (!done.get(p.task)) {
-        setWaiting(p.task, true);
-      }
-      pieces[p.task / PIECE].touched(nowMs, false);
+  /** The attempt is proved gone; unless the task is done it waits again. */
+  public void gone(Placement p) {
+    if (!placed.remove(p.task, p)) {
+      return;
+    }
+    if (!done.get(p.task)) {
+      setWaiting(p.task, true);
+      p.batch.close();
+    } else if (doneRecorded(p.task)) {
+      p.batch.close();
+    } else {
+      ended.put(p.task, p);
     }
   }
 
   public void complete(int task, long nowMs) {
     if (!done.get(task)) {
       setDone(task);
-      pieces[task / PIECE].touched(nowMs, false);
-      doneAt.put(task, pieces[task / PIECE].changes);
+      PieceEntry piece = pieces[task / PIECE];
+      piece.touched(nowMs);
+      doneAt.put(task, piece.changes);
     }
   }
 
   /** The record says that this task is done, so its exit need not be kept on the machine. */
   public boolean doneRecorded(int task) {
-    return archived || done.get(task) && pieces[task / PIECE].written >= doneAt.get(task);
+    return archived || done.get(task) && !doneAt.containsKey(task);
   }
 
   /** The move to its final record. */
@@ -222,45 +273,9 @@
     }
   }
 
-  private JobRecord.Piece snapshot(int index) {
-    int from = index * PIECE;
-    int to = Math.min(spec.tasks(), from + PIECE);
-    Object2IntOpenHashMap<String> names = new Object2IntOpenHashMap<>();
-    List<String> machines = new ArrayList<>();
-    LongArrayList runs = new LongArrayList();
-    Placement last = null;
-    for (int t = from; t < to; t++) {
-      Placement p = done.get(t) ? null : placed.get(t);
-      if (p != null
-          && last != null
-          && last.attempt == p.attempt
-          && last.machine.equals(p.machine)) {
-        int count = runs.size() - JobRecord.Piece.RUN + 1;
-        runs.set(count, runs.getLong(count) + 1);
-      } else if (p != null) {
-        if (!names.containsKey(p.machine)) {
-          names.put(p.machine, machines.size());
-          machines.add(p.machine);
-        }
-        runs.add(t - from);
-        runs.add(1);
-        runs.add(p.attempt);
-        runs.add(names.getInt(p.machine));
-      }
-      last = p;
-    }
-    return new JobRecord.Piece(
-        pieces[index].nextAttempt,
-        done.get(from, to).toByteArray(),
-        machines.isEmpty() ? null : machines,
-        runs.isEmpty() ? null : runs.toLongArray());
-  }
-
-  /** Some of the tasks, as kept in a page. */
+  /** Which of some neighbouring tasks are done, as kept in a page. */
   private final class PieceEntry implements Entry {
     private final int index;
-    private long nextAttempt;
-    private long lastRound = -1;
     private long changes;
     private long written;
     private long inFlight = -1;
@@ -271,17 +286,16 @@
       this.index = index;
     }
 
-    void touched(long nowMs, boolean soon) {
+    void touched(long nowMs) {
       if (changes == written) {
         dirtySinceMs = nowMs;
       }
       changes++;
-      hurry |= soon;
     }
 
     @Override
     public String id() {
-      return pieceId(spec.uid(), index);
+      return spec.uid() + "/" + index;
     }
 
     @Override
@@ -301,21 +315,35 @@
 
     @Override
     public Object snapshot() {
-      return Job.this.snapshot(index);
+      int from = index * PIECE;
+      return new JobRecord.Piece(
+          done.get(from, Math.min(spec.tasks(), from + PIECE)).toByteArray());
     }
 
     @Override
     public void begin(Draft draft) {
       inFlight = changes;
       hurry = false;
-      // Cancelled or ended meanwhile: then nothing of it may start.
-      draft.when(key, version);
     }
 
     @Override
     public void written() {
       written = inFlight;
       inFlight = -1;
+      doneAt
+          .int2LongEntrySet()
+          .removeIf(
+              e -> {
+                int task = e.getIntKey();
+                boolean recorded = task / PIECE == index && e.getLongValue() <= written;
+                if (recorded) {
+                  Placement p = ended.remove(task);
+                  if (p != null) {
+                    p.batch.close();
+                  }
+                }
+                return recorded;
+              });
     }
 
     @Override
@@ -326,16 +354,16 @@
 
     @Override
     public boolean dependsOn(String k) {
-      return k.equals(key);
+      return false;
     }
 
     @Override
     public void reread(Stored now) {
-      rereadMain(now);
+      // depends on nothing
     }
   }
 
-  private void rereadMain(Stored now) {
+  void reread(Stored now) {
     if (now == null) {
       archived = true;
       return;
@@ -393,7 +421,7 @@
 
     @Override
     public void reread(String k, Stored now) {
-      rereadMain(now);
+      Job.this.reread(now);
     }
   }
 }
--- a/src/main/java/dev/windbend/job/JobRecord.java
+++ b/src/main/java/dev/windbend/job/JobRecord.java
@@ -24,27 +24,49 @@
       @JsonProperty("at") long submittedWallMs,
       @JsonProperty("cancelled") boolean cancelled) {}
 
+  /** Which of some neighbouring tasks are done, as a bit set. */
+  public record Piece(@JsonProperty("d") byte[] done) {}
+
   /**
-   * Consecutive tasks: the next attempt, a bit set of those done, and four numbers for each run of
-   * neighbours placed alike: offset, how many, the attempt, the index of the machine.
+   * Tasks placed together: the attempt, the machines' names (what all have in front, and the rest
+   * of each), and three numbers for each run of neighbours on a machine: the first task, how many,
+   * the index of the machine.
    */
-  public record Piece(
-      @JsonProperty("n") long nextAttempt,
-      @JsonProperty("d") byte[] done,
-      @JsonProperty("m") List<String> machines,
+  public record Batch(
+      @JsonProperty("a") long attempt,
+      @JsonProperty("x") String front,
+      @JsonProperty("m") List<String> rest,
       @JsonProperty("p") long[] placed) {
-    static final int RUN = 4;
+    static final int RUN = 3;
 
-    int doneCount() {
-      return done == null ? 0 : java.util.BitSet.valueOf(done).cardinality();
+    static Batch of(long attempt, List<String> machines, long[] placed) {
+      String front = machines.isEmpty() ? "" : machines.get(0);
+      for (String m : machines) {
+        int n = 0;
+        while (n < Math.min(front.length(), m.length()) && front.charAt(n) == m.charAt(n)) {
+          n++;
+        }
+        front = front.substring(0, n);
+      }
+      int length = front.length();
+      return new Batch(
+          attempt, front, machines.stream().map(m -> m.substring(length)).toList(), placed);
     }
 
-    int placedCount() {
-      int n = 0;
-      for (int i = 1; placed != null && i < placed.length; i += RUN) {
-        n += (int) placed[i];
-      }
-      return n;
+    String machine(int run) {
+      return front + rest.get((int) placed[run * RUN + 2]);
+    }
+
+    int runs() {
+      return placed == null ? 0 : placed.length / RUN;
+    }
+
+    int first(int run) {
+      return (int) placed[run * RUN];
+    }
+
+    int count(int run) {
+      return (int) placed[run * RUN + 1];
     }
   }
 
--- a/src/main/java/dev/windbend/job/Placement.java
+++ b/src/main/java/dev/windbend/job/Placement.java
@@ -10,8 +10,8 @@
   public final long attempt;
   public final String machine;
 
-  /** Piece version whose write makes this placement start-able. */
-  public final long version;
+  /** With what it is on record. */
+  final Batch batch;
 
   /** Taken over from a former owner: never started again, only found or found missing. */
   public final boolean inherited;
@@ -34,19 +34,19 @@
 
   public boolean flushing;
 
-  public Placement(
+  Placement(
       Job job,
       int task,
       long attempt,
       String machine,
-      long version,
+      Batch batch,
       boolean inherited,
       long placedMs) {
     this.job = job;
     this.task = task;
     this.attempt = attempt;
     this.machine = machine;
-    this.version = version;
+    this.batch = batch;
     this.inherited = inherited;
     this.placedMs = placedMs;
   }
--- a/src/main/java/dev/windbend/job/Progress.java
+++ b/src/main/java/dev/windbend/job/Progress.java
@@ -4,12 +4,13 @@
 import dev.windbend.daemon.io.Json;
 import dev.windbend.store.Pages;
 import dev.windbend.store.Stored;
+import java.util.BitSet;
 import java.util.HashMap;
 import java.util.Map;
 
 /** How far jobs are, as the owners' pages tell. For display: it may lag. */
 public final class Progress {
-  private record Count(long version, int done, int running) {}
+  private record Count(long version, int done, int placed) {}
 
   private final Map<String, Map<String, Count>> jobs = new HashMap<>();
 
@@ -29,25 +30,32 @@
   }
 
   private void count(String id, JsonNode value, long version) {
-    int slash = id.lastIndexOf('/');
-    JobRecord.Piece piece = slash < 0 ? null : Json.read(value, JobRecord.Piece.class);
-    if (piece == null) {
+    int mark = Math.max(id.lastIndexOf('/'), id.lastIndexOf(Job.BATCH_MARK));
+    if (mark < 0) {
       return;
     }
-    jobs.computeIfAbsent(id.substring(0, slash), k -> new HashMap<>())
-        .merge(
-            id,
-            new Count(version, piece.doneCount(), piece.placedCount()),
-            (a, b) -> a.version > b.version ? a : b);
+    int done = 0;
+    int placed = 0;
+    if (id.charAt(mark) == Job.BATCH_MARK) {
+      JobRecord.Batch b = Json.read(value, JobRecord.Batch.class);
+      for (int run = 0; b != null && run < b.runs(); run++) {
+        placed += b.count(run);
+      }
+    } else {
+      JobRecord.Piece p = Json.read(value, JobRecord.Piece.class);
+      done = p == null || p.done() == null ? 0 : BitSet.valueOf(p.done()).cardinality();
+    }
+    jobs.computeIfAbsent(id.substring(0, mark), k -> new HashMap<>())
+        .merge(id, new Count(version, done, placed), (a, b) -> a.version > b.version ? a : b);
   }
 
   public Tasks of(String uid) {
     int done = 0;
-    int running = 0;
+    int placed = 0;
     for (Count c : jobs.getOrDefault(uid, Map.of()).values()) {
       done += c.done;
-      running += c.running;
+      placed += c.placed;
     }
-    return new Tasks(done, running);
+    return new Tasks(done, Math.max(0, placed - done));
   }
 }
--- a/src/main/java/dev/windbend/part/Facts.java
+++ b/src/main/java/dev/windbend/part/Facts.java
@@ -12,8 +12,14 @@
     double listLagS,
     double cloudRps,
     int valueBytes,
+    double writeRps,
     Aims aims) {
 
+  /** Least time between an owner's writes: the owners together take half of what is allowed. */
+  long writeGapMs(int parts) {
+    return (long) (2_000.0 * parts / writeRps);
+  }
+
   public record TeamFact(
       String name, double cores, double coresMost, double cards, double cardsMost) {}
 
--- a/src/main/java/dev/windbend/part/Owner.java
+++ b/src/main/java/dev/windbend/part/Owner.java
@@ -29,8 +29,10 @@
 import dev.windbend.worker.Reports;
 import dev.windbend.worker.WorkerDesk;
 import dev.windbend.worker.WorkerMessages;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
+import java.util.SortedMap;
 import java.util.function.Consumer;
 import java.util.function.IntConsumer;
 import org.slf4j.Logger;
@@ -112,7 +114,13 @@
     this.images = with.images;
     this.committer =
         new Committer(
-            loop, with.store, Claims.key(part), token, () -> claims.lose(part), this::afterWrite);
+            loop,
+            with.store,
+            Claims.key(part),
+            token,
+            facts.writeGapMs(with.layout.parts()),
+            () -> claims.lose(part),
+            this::afterWrite);
     this.pages = new Pages(JobRecord.pages(part), facts.valueBytes(), with.store.opsLimit());
     this.board = new Board(name -> teamHere(with.layout, name), committer, pages);
     this.fleet = new Fleet(loop, with.cloud, catalog, part, token, this);
@@ -121,7 +129,17 @@
     this.loans = new Loans(part, loop, fleet, guaranteedCores(with.layout), with.lender);
     this.rounds =
         new Rounds(
-            loop, catalog, facts, policy, estimates, images, board, fleet, loans, this::mayAct);
+            loop,
+            catalog,
+            facts,
+            policy,
+            estimates,
+            images,
+            board,
+            fleet,
+            loans,
+            token,
+            this::mayAct);
     this.reports =
         new Reports(
             loop,
@@ -161,7 +179,7 @@
     for (Map.Entry<String, Stored> e : replica.below(hires).entrySet()) {
       hire(e.getKey().substring(hires.length()), e.getValue());
     }
-    Map<String, JsonNode> left = pages.restore(replica.below(JobRecord.pages(part)));
+    SortedMap<String, JsonNode> left = pages.restore(replica.below(JobRecord.pages(part)));
     for (Map.Entry<String, Stored> e : replica.below(JobRecord.LIVE).entrySet()) {
       take(e.getValue(), left, now);
     }
@@ -199,7 +217,7 @@
 
   // ---- jobs
 
-  private boolean take(Stored s, Map<String, JsonNode> left, long now) {
+  private boolean take(Stored s, SortedMap<String, JsonNode> left, long now) {
     Job job = board.take(s, left, now);
     if (job == null) {
       return false;
@@ -210,7 +228,7 @@
         m.add(p);
       } else {
         // Its record went only after the cloud had confirmed its end, or once it was empty.
-        job.gone(p, now);
+        job.gone(p);
       }
     }
     if (job.cancelled) {
@@ -227,7 +245,7 @@
     }
     Job job = board.find(uid);
     if (job == null) {
-      if (now != null && take(now, Map.of(), loop.nowMs())) {
+      if (now != null && take(now, Collections.emptySortedMap(), loop.nowMs())) {
         rounds.want();
       }
       return;
@@ -359,7 +377,7 @@
     long now = loop.nowMs();
     for (Placement p : List.copyOf(m.tasks.values())) {
       m.remove(p, now);
-      p.job.gone(p, now);
+      p.job.gone(p);
       board.touched(p.job);
     }
     rounds.want();
--- a/src/main/java/dev/windbend/part/Rounds.java
+++ b/src/main/java/dev/windbend/part/Rounds.java
@@ -51,6 +51,7 @@
   private final Board board;
   private final Fleet fleet;
   private final Loans loans;
+  private final long token;
   private final BooleanSupplier mayAct;
   private long lastMs;
   private long costMs;
@@ -68,7 +69,9 @@
       Board board,
       Fleet fleet,
       Loans loans,
+      long token,
       BooleanSupplier mayAct) {
+    this.token = token;
     this.loop = loop;
     this.catalog = catalog;
     this.facts = facts;
@@ -186,7 +189,7 @@
     for (Wanted.Place place : wanted.places()) {
       Job job = works.get(place.work());
       Machine m = rooms.get(place.room());
-      m.add(job.place(job.nextWaiting(), m.name, now, count));
+      m.add(job.place(job.nextWaiting(), m.name, now, token, count));
       changed.add(job);
     }
     changed.forEach(board::touched);
--- a/src/main/java/dev/windbend/store/Committer.java
+++ b/src/main/java/dev/windbend/store/Committer.java
@@ -35,9 +35,10 @@
       StoreClient store,
       String guardKey,
       long guardVersion,
+      long gapMs,
       Runnable lost,
       Runnable after) {
-    this.gapMs = store.gapMs();
+    this.gapMs = gapMs;
     this.loop = loop;
     this.store = store;
     this.guardKey = guardKey;
--- a/src/main/java/dev/windbend/store/Pages.java
+++ b/src/main/java/dev/windbend/store/Pages.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.SortedMap;
 import java.util.TreeMap;
 
 /**
@@ -64,8 +65,8 @@
   }
 
   /** Reads what a former owner left; hands the newest copy of each entry by its id. */
-  public Map<String, JsonNode> restore(Map<String, Stored> stored) {
-    Map<String, JsonNode> newest = new HashMap<>();
+  public SortedMap<String, JsonNode> restore(Map<String, Stored> stored) {
+    SortedMap<String, JsonNode> newest = new TreeMap<>();
     for (Map.Entry<String, Stored> s : stored.entrySet()) {
       Slot slot = new Slot(s.getKey(), s.getValue().version());
       slots.add(slot);
@@ -113,15 +114,6 @@
     changed.add(e);
   }
 
-  /** Nothing depends on this entry any more. */
-  public void drop(Entry e) {
-    changed.remove(e);
-    Slot home = homes.remove(e);
-    if (home != null) {
-      home.live.remove(e);
-    }
-  }
-
   @Override
   public boolean dirty() {
     if (!writing.isEmpty()) {
@@ -199,7 +191,7 @@
     pinned = null;
     for (int i = 0; free == null && i < slots.size(); i++) {
       Slot s = slots.get(i);
-      if (s.live.isEmpty() && !writing.contains(s)) {
+      if (!writing.contains(s) && !counts(s)) {
         free = s;
       }
     }
@@ -211,12 +203,24 @@
     return free;
   }
 
+  /** Something in this page is still needed. */
+  private boolean counts(Slot s) {
+    s.live.removeIf(
+        e -> {
+          if (e.over()) {
+            homes.remove(e);
+          }
+          return e.over();
+        });
+    return !s.live.isEmpty();
+  }
+
   /** Entries of the emptiest page move along, as far as there is room. */
   private void takeAlong(Slot into, Draft draft) {
     Slot emptiest = null;
     int used = 0;
     for (Slot s : slots) {
-      if (!s.live.isEmpty() && !writing.contains(s)) {
+      if (!writing.contains(s) && counts(s)) {
         used++;
         if (emptiest == null || s.live.size() < emptiest.live.size()) {
           emptiest = s;
--- a/src/main/java/dev/windbend/store/StoreClient.java
+++ b/src/main/java/dev/windbend/store/StoreClient.java
@@ -28,7 +28,6 @@
   private final ArrayDeque<Waiting> first = new ArrayDeque<>();
   private final ArrayDeque<Waiting> later = new ArrayDeque<>();
   private final ArrayDeque<Waiting> asking = new ArrayDeque<>();
-  private final long gapMs;
   private final long pauseMs;
   private boolean pumping;
   private long pumpAtMs = Long.MAX_VALUE;
@@ -58,19 +57,13 @@
     this.address = address;
     this.ops = ops;
     // One node may own most of the work, so each gets more than an even part; 429 slows it down.
-    double share = Math.min(1.0, 1.6 / nodes);
+    double share = Math.min(1.0, 2.5 / nodes);
     this.reads = new Rate(loop, rps * share);
     this.writes = new Rate(loop, writeRps * share);
-    this.gapMs = Math.max(50, (long) (2_000 / (writeRps * share)));
     this.pauseMs = Math.max(50, (long) (1_000 * 4.0 * nodes / rps));
     this.lastOkMs = loop.nowMs();
   }
 
-  /** Least time between an owner's writes: at half of this node's part there is room for more. */
-  long gapMs() {
-    return gapMs;
-  }
-
   /** Pause between reads of a kind that goes on and on: each kind of all nodes takes a quarter. */
   public long pauseMs() {
     return pauseMs;
--- a/src/main/java/dev/windbend/worker/WorkerDesk.java
+++ b/src/main/java/dev/windbend/worker/WorkerDesk.java
@@ -98,7 +98,7 @@
 
   private void leave(Machine m, Placement p, long nowMs) {
     m.remove(p, nowMs);
-    p.job.gone(p, nowMs);
+    p.job.gone(p);
     book.touched(p.job);
   }
 
