--- a/src/main/java/dev/windbend/plan/Planner.java
+++ b/src/main/java/dev/windbend/plan/Planner.java
@@ -27,6 +27,9 @@
   /** Older ones are long overdue. */
   private static final long OVERDUE_MS = 240_000;
 
+  /** Room at twice the cheapest price is taken only where it saves so much time. */
+  private static final double DEAR_MS = 3_000;
+
   private final Snapshot s;
   private final List<Line> lines = new ArrayList<>();
   private final List<Full> full = new ArrayList<>();
@@ -37,6 +40,7 @@
   private final double[] usedCards;
   private final List<Wanted.Place> places = new ArrayList<>();
   private final List<Wanted.Stop> stops = new ArrayList<>();
+  private double cheapest = Double.POSITIVE_INFINITY;
   private int lowestRank = -1;
   private int rentals;
   private double shortCores;
@@ -109,6 +113,7 @@
     for (int i = 0; i < s.rooms().size(); i++) {
       Line l = new Line(s.rooms().get(i), i, s.nowMs());
       lines.add(l);
+      cheapest = Math.min(cheapest, l.room.pricePerH());
       if (l.zone < zones) {
         machinesIn[l.zone]++;
       }
@@ -229,7 +234,10 @@
         : (long) (1000 * w.imageGb() / l.fetchGbPerS);
   }
 
-  /** Idle room on machines that are up: those that can start soonest, then the tightest fit. */
+  /**
+   * Idle room on machines that are up: those that can start soonest and cost least, then the
+   * tightest fit. So dear machines run empty first.
+   */
   private void useIdle(Ask a, int keep) {
     Work w = a.w;
     double newOne = costOfANewOne(w);
@@ -238,7 +246,8 @@
       if (l.room != null && l.room.up() && l.now.holds(w.size()) && a.mayUse(l)) {
         long fetch = fetchMs(w, l);
         if (l.fitsNow(w.estimateMs() + fetch, w.size()) && extendingCosts(w, l) <= newOne) {
-          double score = l.now.cores() + (fetch + l.room.hearsMs()) / 10.0;
+          double dear = cheapest > 0 ? l.room.pricePerH() / cheapest - 1 : 0;
+          double score = l.now.cores() + (fetch + l.room.hearsMs() + DEAR_MS * dear) / 10.0;
           choices.add(new Choice(l, score, 0, null));
         }
       }
