--- a/src/test/java/dev/windbend/daemon/RulesTest.java
+++ b/src/test/java/dev/windbend/daemon/RulesTest.java
@@ -48,6 +48,21 @@
     }
   }
 
+  /** Both ways, between one and all others of a list. */
+  private static void cutOff(World w, String one, Iterable<String> others) {
+    for (String o : others) {
+      w.cut.add(one + ">" + o);
+      w.cut.add(o + ">" + one);
+    }
+  }
+
+  /** Its reports arrive, but no answer reaches it. */
+  private static void deafen(World w, StandInWorker m) {
+    for (int n = 0; m != null && n < 3; n++) {
+      w.cut.add("n" + n + ">" + m.name);
+    }
+  }
+
   static Stream<Arguments> days() {
     return Stream.of(
         day("quiet", w -> {}),
@@ -161,6 +176,98 @@
               each(w, 17_000, 11_000, 6, () -> hang(w, 20_000));
               w.time.at(40_000, () -> outage(w, 15_000));
             }),
+        day(
+            "machines report but no answer reaches them",
+            w -> each(w, 20_000, 9_000, 6, () -> deafen(w, any(w)))),
+        day("copies of reports come late", w -> w.copies = 0.3),
+        day(
+            "late copies while nodes crash, machines go and come back to other parts",
+            w -> {
+              w.copies = 0.3;
+              each(w, 15_000, 17_000, 5, () -> crash(w, 3_000, w.random.nextInt(3)));
+              each(w, 18_000, 8_000, 10, () -> w.take(any(w)));
+              each(w, 21_000, 15_000, 5, () -> hang(w, 20_000));
+            }),
+        day(
+            "a node has its workers but neither the state service nor the other nodes",
+            w -> {
+              w.time.at(
+                  25_000,
+                  () -> {
+                    w.store.deaf = "n1";
+                    cutOff(w, "n1", List.of("n0", "n2"));
+                  });
+              w.time.at(
+                  85_000,
+                  () -> {
+                    w.store.deaf = "";
+                    w.cut.clear();
+                  });
+            }),
+        day(
+            "a node has lost its workers",
+            w -> {
+              w.time.at(25_000, () -> cutOff(w, "n1", w.machines.keySet()));
+              w.time.at(70_000, w.cut::clear);
+            }),
+        day(
+            "a node has lost all but its users",
+            w -> {
+              w.time.at(
+                  25_000,
+                  () -> {
+                    w.store.deaf = "n2";
+                    cutOff(w, "n2", List.of("n0", "n1", "cloud"));
+                    cutOff(w, "n2", w.machines.keySet());
+                  });
+              w.time.at(
+                  70_000,
+                  () -> {
+                    w.store.deaf = "";
+                    w.cut.clear();
+                  });
+            }),
+        day(
+            "nodes refuse each other's connections, also in an outage",
+            w -> {
+              w.time.at(
+                  20_000,
+                  () -> {
+                    for (int a = 0; a < 3; a++) {
+                      for (int b = 0; b < 3; b++) {
+                        w.refused.add("n" + a + ">n" + b);
+                      }
+                    }
+                  });
+              w.time.at(30_000, () -> outage(w, 12_000));
+              w.time.at(70_000, w.refused::clear);
+            }),
+        day(
+            "a node is slow",
+            w -> {
+              w.time.at(20_000, () -> w.slowMs[0] = 250);
+              w.time.at(60_000, () -> w.slowMs[0] = 0);
+            }),
+        day(
+            "nodes are back at once, in the middle of an election",
+            w ->
+                each(
+                    w,
+                    15_000,
+                    11_000,
+                    6,
+                    () -> {
+                      crash(w, 20_000, 0);
+                      for (int i = 0; i < 8; i++) {
+                        w.time.at(3_500 + 400 * i, () -> crash(w, 150, 1 + w.random.nextInt(2)));
+                      }
+                    })),
+        day(
+            "a copy of each report comes late, and capacity is short all day",
+            w -> {
+              w.copies = 0.2;
+              w.capacity = 4;
+            }),
         day(
             "old changes are forgotten by the state service",
             w -> each(w, 10_000, 10_000, 10, w.store::forgetChanges)));
@@ -172,6 +279,7 @@
     for (long seed = 1; seed <= 3; seed++) {
       World w = new World(seed * 7_919 + name.hashCode());
       w.begin(30, 90_000);
+      w.calmFromMs = 130_000;
       troubles.accept(w);
       w.time.runUntil(DAY_MS);
       assertThat(w.violations).as("rules, seed %d", seed).isEmpty();
--- a/src/test/java/dev/windbend/daemon/StandInStore.java
+++ b/src/test/java/dev/windbend/daemon/StandInStore.java
@@ -212,9 +212,19 @@
         };
     watchers.add(look);
     look.run();
+    timeOut(look, answered, Long.parseLong(query(path, "block_ms")), done);
+  }
+
+  /** Open watches remain open through an outage. */
+  private void timeOut(Runnable look, boolean[] answered, long ms, Consumer<Web.Reply> done) {
     time.at(
-        Long.parseLong(query(path, "block_ms")),
+        ms,
         () -> {
+          look.run();
+          if (outage && !answered[0]) {
+            timeOut(look, answered, 500, done);
+            return;
+          }
           watchers.remove(look);
           if (!answered[0]) {
             answered[0] = true;
--- a/src/test/java/dev/windbend/daemon/VirtualTime.java
+++ b/src/test/java/dev/windbend/daemon/VirtualTime.java
@@ -2,6 +2,7 @@
 
 import dev.windbend.daemon.io.Loop;
 import java.util.PriorityQueue;
+import java.util.function.LongSupplier;
 
 /** Simulated time: everything happens in one thread, in the same order every time. */
 final class VirtualTime {
@@ -37,7 +38,10 @@
     private final long wallOffMs;
     private boolean dead;
 
-    ProcessLoop(long offsetMs, long wallOffMs) {
+    private final LongSupplier slowMs;
+
+    ProcessLoop(long offsetMs, long wallOffMs, LongSupplier slowMs) {
+      this.slowMs = slowMs;
       this.offsetMs = offsetMs;
       this.wallOffMs = wallOffMs;
     }
@@ -64,7 +68,7 @@
     public Timer after(long delayMs, Runnable task) {
       boolean[] off = {false};
       at(
-          delayMs,
+          delayMs + slowMs.getAsLong(),
           () -> {
             if (!off[0] && !dead) {
               task.run();
--- a/src/test/java/dev/windbend/daemon/World.java
+++ b/src/test/java/dev/windbend/daemon/World.java
@@ -19,6 +19,7 @@
   static final long LEASE_MS = 14_000;
   static final long REPORT_MS = 1_500;
   static final long CANCEL_MS = 30_000;
+  static final long FORGOTTEN_MS = 75_000;
   private static final double TEAM_CORES = 40;
 
   final VirtualTime time = new VirtualTime();
@@ -34,16 +35,30 @@
   private final Map<String, Set<StandInWorker>> on = new HashMap<>();
   private final Set<String> finished = new HashSet<>();
   private int nextMachine;
-  private int capacity = 30;
+  int capacity = 30;
 
   /** Chances that a message is lost, answered but unheard, or comes late. */
   double loss = 0.002;
 
   double late = 0.002;
 
+  /** Chance that a copy of a report comes once more, up to so much later. */
+  double copies;
+
+  long copyMs = 45_000;
+
   /** Pairs "a>b" that can't talk: sends hang. */
   final Set<String> cut = new HashSet<>();
 
+  /** Pairs "a>b" where connections are refused at once. */
+  final Set<String> refused = new HashSet<>();
+
+  /** How much later each of a node's events happens. */
+  final long[] slowMs = new long[3];
+
+  /** From then on every question must be answered within 75 s. */
+  long calmFromMs = Long.MAX_VALUE;
+
   World(long seed) {
     this.random = new Random(seed);
   }
@@ -52,7 +67,7 @@
 
   void startNode(int i) {
     VirtualTime.ProcessLoop loop =
-        time.new ProcessLoop(random.nextInt(1_000_000), random.nextInt(200) - 100);
+        time.new ProcessLoop(random.nextInt(1_000_000), random.nextInt(200) - 100, () -> slowMs[i]);
     loops[i] = loop;
     try {
       nodes[i] =
@@ -69,6 +84,9 @@
   }
 
   void kill(int i, long backMs) {
+    if (nodes[i] == null) {
+      return;
+    }
     loops[i].kill();
     nodes[i] = null;
     time.at(backMs, () -> startNode(i));
@@ -136,6 +154,16 @@
         };
     time.at(limitMs, () -> once.accept(Web.Reply.NONE));
     String to = address.substring(0, address.indexOf(':'));
+    if (refused.contains(from + ">" + to)) {
+      time.at(1, () -> once.accept(Web.Reply.NONE));
+      return;
+    }
+    if (path.equals("/hello") && copies > 0 && random.nextDouble() < copies) {
+      // A late copy: nobody waits for its answer.
+      time.at(
+          1_000 + random.nextInt((int) copyMs),
+          () -> deliver(from, address, method, path, body, r -> {}));
+    }
     if (cut.contains(from + ">" + to) || random.nextDouble() < loss) {
       return;
     }
@@ -185,11 +213,16 @@
           };
       Web.Request request =
           new Web.Request(method, path, Map.of(), body == null ? new byte[0] : body);
-      if (address.endsWith(":81")) {
-        nodes[i].servePeer(request, answer);
-      } else {
-        nodes[i].serve(request, answer);
-      }
+      Node node = nodes[i];
+      loop.after(
+          0,
+          () -> {
+            if (address.endsWith(":81")) {
+              node.servePeer(request, answer);
+            } else {
+              node.serve(request, answer);
+            }
+          });
     }
   }
 
@@ -258,7 +291,7 @@
 
   /** The cloud takes a machine without notice. */
   void take(StandInWorker w) {
-    if (machines.remove(w.name) != null) {
+    if (w != null && machines.remove(w.name) != null) {
       w.vanish();
       capacity++;
     }
@@ -285,6 +318,9 @@
       broken("unknown task " + drop);
       return;
     }
+    if (u.begunMs < 0) {
+      u.begunMs = time.nowMs();
+    }
     if (u.toldCancelledMs >= 0 && time.nowMs() > u.toldCancelledMs + CANCEL_MS) {
       broken("ran_cancelled: " + drop);
     }
@@ -331,6 +367,8 @@
     final boolean cancels;
     long firstSentMs = -1;
     long toldCancelledMs = -1;
+    long answeredMs;
+    long begunMs = -1;
     String told = "";
 
     User(int n, int tasks, String zone, boolean spot, boolean cancels) {
@@ -386,6 +424,8 @@
               broken("forgotten: " + uid + " got 404");
             } else if (r.status() == 200) {
               hear(r);
+            } else if (time.nowMs() - Math.max(answeredMs, calmFromMs) > FORGOTTEN_MS) {
+              broken("forgotten: no question about " + uid + " is answered");
             }
             time.at(5_000, this::poll);
           });
@@ -407,6 +447,7 @@
     }
 
     private void hear(Web.Reply r) {
+      answeredMs = time.nowMs();
       String status = json(r.body()).path("status").asText();
       boolean over = told.equals("done") || told.equals("aborted");
       if (over && !status.equals(told)) {
