--- a/src/main/java/dev/windbend/daemon/Node.java
+++ b/src/main/java/dev/windbend/daemon/Node.java
@@ -101,7 +101,11 @@
     this.peers = new Peers(loop, web, store, addresses, (long) (500 * f.workers().leaseS()));
     this.lending = new Lending(web, layout.parts(), claims::owner, peerAddresses, this::lend);
     Facts facts = facts(settings, size);
-    this.gate = new Gate(loop, new JobDoor(loop, store, replica, progress, this::judge)::handle);
+    this.gate =
+        new Gate(
+            loop,
+            JobDoor::submits,
+            new JobDoor(loop, store, replica, progress, this::judge)::handle);
     replica.listen(directory::changed);
     replica.listen(progress::changed);
     replica.listen(this::changed);
--- a/src/main/java/dev/windbend/job/JobDoor.java
+++ b/src/main/java/dev/windbend/job/JobDoor.java
@@ -55,6 +55,10 @@
     return path.equals(JOBS) || path.startsWith(JOBS + "/");
   }
 
+  public static boolean submits(Web.Request request) {
+    return request.path().equals(JOBS);
+  }
+
   public void handle(Web.Request request, Consumer<Web.Answer> done) {
     String rest = request.path().substring(JOBS.length());
     if (rest.isEmpty()) {
--- a/src/main/java/dev/windbend/overload/Gate.java
+++ b/src/main/java/dev/windbend/overload/Gate.java
@@ -6,24 +6,29 @@
 import dev.windbend.daemon.io.Web;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 /**
  * Limits the users' requests in progress; the limit adapts to the times they take. What is over it
- * is answered at once, with when to come back.
+ * is answered at once, with when to come back. New submissions get a part of it only: questions
+ * about accepted jobs and cancellations go ahead of them.
  */
 public final class Gate {
   private static final int FIRST = 40;
   private static final int LEAST = 8;
   private static final int MOST = 200;
+  private static final double FOR_NEW = 0.7;
 
   private final Loop loop;
+  private final Predicate<Web.Request> isNew;
   private final Web.Door inner;
   private final Limit limit =
       Gradient2Limit.newBuilder().initialLimit(FIRST).minLimit(LEAST).maxConcurrency(MOST).build();
   private int inProgress;
 
-  public Gate(Loop loop, Web.Door inner) {
+  public Gate(Loop loop, Predicate<Web.Request> isNew, Web.Door inner) {
     this.loop = loop;
+    this.isNew = isNew;
     this.inner = inner;
   }
 
@@ -32,7 +37,7 @@
   }
 
   public void handle(Web.Request request, Consumer<Web.Answer> done) {
-    if (inProgress >= limit.getLimit()) {
+    if (inProgress >= limit.getLimit() * (isNew.test(request) ? FOR_NEW : 1)) {
       done.accept(Web.Answer.later(1));
       return;
     }
--- a/src/main/java/dev/windbend/plan/Planner.java
+++ b/src/main/java/dev/windbend/plan/Planner.java
@@ -43,6 +43,7 @@
   private double cheapest = Double.POSITIVE_INFINITY;
   private int lowestRank = -1;
   private int rentals;
+  private int looks;
   private double shortCores;
 
   /** Nothing of this size gets free before that time. */
@@ -173,7 +174,7 @@
         }
       }
     }
-    return new Wanted(stops, places, rentals, spare, back, shortCores);
+    return new Wanted(stops, places, rentals, spare, back, shortCores, looks);
   }
 
   private static boolean mustBegin(Work w) {
@@ -242,6 +243,7 @@
     Work w = a.w;
     double newOne = costOfANewOne(w);
     List<Choice> choices = new ArrayList<>();
+    looks += lines.size();
     for (Line l : lines) {
       if (l.room != null && l.room.up() && l.now.holds(w.size()) && a.mayUse(l)) {
         long fetch = fetchMs(w, l);
@@ -324,6 +326,7 @@
 
   /** Picks the cheapest few to stop. */
   private void offerVictims(Work w, Line l, PriorityQueue<Choice> choices) {
+    looks++;
     List<Running> running = l.room.running();
     List<Integer> may = new ArrayList<>();
     for (int i = 0; i < running.size(); i++) {
@@ -395,6 +398,7 @@
 
   private void offerSoon(
       Work w, Line l, long byMs, boolean orInTime, PriorityQueue<Choice> choices) {
+    looks++;
     long run = w.estimateMs() + fetchMs(w, l);
     long at = l.firstFit(run, w.size());
     if (at <= byMs || orInTime && at < Long.MAX_VALUE && at + run <= w.dueMs()) {
--- a/src/main/java/dev/windbend/plan/Wanted.java
+++ b/src/main/java/dev/windbend/plan/Wanted.java
@@ -5,6 +5,7 @@
 /**
  * What a round wants; all numbers are indices into its snapshot. {@code shortCores}: what waits for
  * machines that are not up yet, or that nobody rents out. {@code spare}: idle and not spoken for.
+ * {@code looks}: how often a machine was looked at, which is what a round costs.
  */
 public record Wanted(
     List<Stop> stops,
@@ -12,7 +13,8 @@
     List<Rental> rentals,
     List<Integer> spare,
     List<Integer> giveBack,
-    double shortCores) {
+    double shortCores,
+    int looks) {
   /** One task of this work goes to this room now. */
   public record Place(int work, int room) {}
 
--- a/src/main/java/dev/windbend/store/StoreClient.java
+++ b/src/main/java/dev/windbend/store/StoreClient.java
@@ -59,7 +59,7 @@
     // One node may own most of the work, so each gets more than an even part; 429 slows it down.
     double share = Math.min(1.0, 2.5 / nodes);
     this.reads = new Rate(loop, rps * share);
-    this.writes = new Rate(loop, writeRps * share);
+    this.writes = new Rate(loop, writeRps * share, writeRps / nodes);
     this.pauseMs = Math.max(50, (long) (1_000 * 4.0 * nodes / rps));
     this.lastOkMs = loop.nowMs();
   }
--- /dev/null
+++ b/src/test/java/dev/windbend/machine/DirectoryTest.java
@@ -0,0 +1,62 @@
+package dev.windbend.machine;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.windbend.daemon.io.Json;
+import dev.windbend.store.Stored;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Of all records that name a machine, the one with the highest fence counts, in any order. */
+class DirectoryTest {
+  private final Directory directory = new Directory();
+
+  private void record(String key, Long fence, long version, String... machines) {
+    HireRecord r = new HireRecord("t", "z", true, 0, List.of(machines), fence);
+    directory.changed(key, new Stored(Json.tree(r), version));
+  }
+
+  @Test
+  void aGivenMachineIsTheReceiversWhateverOrderTheRecordsComeIn() {
+    record("w/h/1/g", 0L, 20, "m1");
+    record("w/h/0/h", null, 30, "m1", "m2");
+    assertThat(directory.partOf("m1")).isEqualTo(1);
+    assertThat(directory.partOf("m2")).isEqualTo(0);
+    assertThat(directory.names("w/h/0/h", "m1")).isFalse();
+  }
+
+  @Test
+  void aMachineThatCameBackIsItsFormerPartsAgain() {
+    record("w/h/0/h", null, 10, "m1");
+    record("w/h/1/g", 0L, 20, "m1");
+    record("w/h/0/g", 0L, 30, "m1");
+    record("w/h/1/g", 20L, 40, "m1");
+    assertThat(directory.names("w/h/0/g", "m1")).isTrue();
+  }
+
+  @Test
+  void rewritingARecordKeepsItsFence() {
+    record("w/h/1/g", 0L, 20, "m1", "m2");
+    record("w/h/2/g", 0L, 30, "m1");
+    record("w/h/1/g", 20L, 50, "m1", "m2");
+    assertThat(directory.partOf("m1")).isEqualTo(2);
+  }
+
+  @Test
+  void whatLeftItsRecordIsNobodysAndKnownAsFormer() {
+    record("w/h/0/h", null, 10, "m1", "m2");
+    record("w/h/0/h", null, 20, "m2");
+    directory.changed("w/h/0/h", null);
+    assertThat(directory.knows("m1")).isFalse();
+    assertThat(directory.knew("m1")).isTrue();
+    assertThat(directory.knew("m2")).isTrue();
+    assertThat(directory.knew("m3")).isFalse();
+  }
+
+  @Test
+  void aRentalWithoutAnAnswerNamesNothing() {
+    directory.changed(
+        "w/h/0/h", new Stored(Json.tree(new HireRecord("t", "z", true, 5, null, null)), 10));
+    assertThat(directory.partOf("m1")).isEqualTo(-1);
+  }
+}
--- a/src/test/java/dev/windbend/overload/GateTest.java
+++ b/src/test/java/dev/windbend/overload/GateTest.java
@@ -30,7 +30,8 @@
         }
       };
   private final ArrayDeque<Consumer<Web.Answer>> open = new ArrayDeque<>();
-  private final Gate gate = new Gate(loop, (request, done) -> open.add(done));
+  private final Gate gate =
+      new Gate(loop, r -> r.method().equals("POST"), (request, done) -> open.add(done));
   private final Web.Request request = new Web.Request("GET", "/", Map.of(), new byte[0]);
 
   @Test
@@ -49,6 +50,18 @@
     assertThat(open).hasSize(limit);
   }
 
+  @Test
+  void questionsGoAheadOfNewSubmissions() {
+    Web.Request submission = new Web.Request("POST", "/", Map.of(), new byte[0]);
+    int[] refused = {0};
+    for (int i = 0; i < gate.limit(); i++) {
+      gate.handle(submission, a -> refused[0]++);
+    }
+    assertThat(refused[0]).isPositive();
+    gate.handle(request, a -> refused[0] = -1);
+    assertThat(refused[0]).isPositive();
+  }
+
   @Test
   void theLimitFallsAsRequestsTakeLonger() {
     for (int i = 0; i < 300; i++) {
--- a/src/test/java/dev/windbend/plan/PlannerTest.java
+++ b/src/test/java/dev/windbend/plan/PlannerTest.java
@@ -246,6 +246,121 @@
     assertThat(plan().places()).hasSize(3);
   }
 
+  private void jobOfAge(int rank, long ageS, boolean begun, int tasks) {
+    work(
+        d -> {
+          d.rank = rank;
+          d.size = new Size(8, 0, 1);
+          d.tasks = tasks;
+          d.waiting = tasks;
+          d.estimateMs = 60_000;
+          d.dueMs = NOW - 1;
+          d.hopeless = true;
+          d.ageMs = ageS * 1000;
+          d.begun = begun;
+        });
+  }
+
+  @ParameterizedTest(name = "age {0} s, begun {1}, the long overdue first {2}: task of {3}")
+  @CsvSource({
+    // Least work first: the small urgent one, unless the large one has to begin or is long overdue.
+    "119,false,false,1",
+    "120,false,false,0",
+    "230,true,false,1",
+    "230,true,true,1",
+    "240,true,true,0",
+    "300,true,false,1",
+  })
+  void noJobWaitsForEver(long age, boolean begun, boolean first, int served) {
+    jobOfAge(2, age, begun, 16);
+    jobOfAge(1, 5, false, 1);
+    offers.clear();
+    oldestFirst = first;
+    room(0, true, 8);
+    assertThat(plan().places()).containsExactly(new Wanted.Place(served, 0));
+  }
+
+  @Test
+  void aJobThatHasToBeginTakesAnEighthAtFirst() {
+    jobOfAge(2, 200, false, 16);
+    jobOfAge(1, 5, false, 1);
+    offers.clear();
+    for (int i = 0; i < 4; i++) {
+      room(0, true, 8);
+    }
+    assertThat(plan().places().stream().map(Wanted.Place::work)).containsExactly(0, 0, 1, 0);
+  }
+
+  @Test
+  void aJobThatHasToBeginDoesNotWaitForSlack() {
+    work(
+        d -> {
+          d.size = new Size(8, 0, 1);
+          d.dueMs = NOW + 900_000;
+          d.ageMs = 120_000;
+        });
+    assertThat(plan().rentals()).hasSize(1);
+  }
+
+  @Test
+  void takesDearRoomLast() {
+    work(2, 4, 1, 30, 40);
+    room(0, false, 8);
+    room(0, true, 8);
+    assertThat(plan().places()).containsExactly(new Wanted.Place(0, 1));
+  }
+
+  @Test
+  void takesMachinesThatHearItAtOnceFirst() {
+    work(2, 4, 1, 30, 40);
+    room(0, true, 8);
+    Room r = rooms.remove(0);
+    for (long hears : new long[] {5_000, 0}) {
+      rooms.add(
+          new Room(
+              r.type(),
+              r.zone(),
+              r.spot(),
+              r.up(),
+              hears,
+              r.free(),
+              r.readyMs(),
+              r.idle(),
+              r.paidUntilMs(),
+              r.pricePerH(),
+              r.fetchGbPerS(),
+              r.images(),
+              r.running()));
+    }
+    assertThat(plan().places()).containsExactly(new Wanted.Place(0, 1));
+  }
+
+  @Test
+  void rentsFromTheZoneWithFewerMachines() {
+    offers.add(new Offer(0, 1, true, WHOLE, 1, 30_000, 1));
+    work(2, 8, 4, 20, 30);
+    assertThat(plan().rentals())
+        .containsExactlyInAnyOrder(new Wanted.Rental(0, 2), new Wanted.Rental(2, 2));
+  }
+
+  /** What a round costs goes by machines and jobs, not by tasks. */
+  @Test
+  void looksAtAMachineOnceForAJobAndNotOnceForATask() {
+    int machines = 400;
+    int jobs = 50;
+    int tasks = 1_000;
+    for (int i = 0; i < machines; i++) {
+      room(i % 2, true, 0, running(4, 10 + i % 60, 2, 5), running(4, 20 + i % 70, 2, 5));
+    }
+    offers.clear();
+    for (int j = 0; j < jobs; j++) {
+      work(2, 4, tasks, 30, 20);
+    }
+    Wanted w = plan();
+    assertThat(w.places()).isEmpty();
+    assertThat(w.looks()).isLessThan(3 * machines * jobs).isLessThan(tasks * jobs * 2);
+  }
+
   @Test
   void givesBackWhatIsIdleAtTheEndOfItsBlock() {
     room(0, true, 8);
