--- a/src/main/java/dev/windbend/machine/Fleet.java
+++ b/src/main/java/dev/windbend/machine/Fleet.java
@@ -134,6 +134,12 @@
     return refusedUntil.getLong(kind(type, zone, spot)) > loop.nowMs();
   }
 
+  /** Some kind at least is not to be had. */
+  public boolean refusedSome() {
+    long now = loop.nowMs();
+    return refusedUntil.values().longStream().anyMatch(until -> until > now);
+  }
+
   private static String kind(int type, int zone, boolean spot) {
     return type + "/" + zone + "/" + spot;
   }
--- a/src/main/java/dev/windbend/part/Loans.java
+++ b/src/main/java/dev/windbend/part/Loans.java
@@ -8,6 +8,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.function.IntConsumer;
+import java.util.function.Predicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -50,10 +51,11 @@
   }
 
   /** Idle paid room first, of the other parts too: what they can spare need not be rented. */
-  void ask(double shortCores, double largest, IntConsumer given) {
+  void ask(double shortCores, double largest, boolean cloudHasMore, IntConsumer given) {
     int count = (int) Math.ceil(shortCores / largest);
-    double below = guaranteedCores - coresOfMachines();
-    boolean guaranteed = below > 0;
+    double below = guaranteedCores - cores(m -> true);
+    // What the cloud still has is not taken from others.
+    boolean guaranteed = below > 0 && !cloudHasMore;
     if (guaranteed) {
       count = Math.min(count, (int) Math.ceil(below / largest));
     }
@@ -69,10 +71,10 @@
         });
   }
 
-  private double coresOfMachines() {
+  private double cores(Predicate<Machine> which) {
     double all = 0;
     for (Machine m : fleet.machines()) {
-      all += m.returning || m.promisedTo >= 0 ? 0 : m.type.cores();
+      all += m.returning || m.promisedTo >= 0 || !which.test(m) ? 0 : m.type.cores();
     }
     return all;
   }
@@ -101,7 +103,8 @@
 
   /** To a part below its guarantee: what this part has above its own. */
   private void promise(int to, int count) {
-    double above = coresOfMachines() - guaranteedCores;
+    // What is booting may take long: given away is only what is there.
+    double above = cores(m -> m.usable(loop.nowMs())) - guaranteedCores;
     int left = count;
     for (Machine m : fleet.machines()) {
       left -= m.promisedTo == to ? 1 : 0;
--- a/src/main/java/dev/windbend/part/Rounds.java
+++ b/src/main/java/dev/windbend/part/Rounds.java
@@ -160,6 +160,7 @@
       loans.ask(
           wanted.shortCores(),
           largest,
+          !fleet.refusedSome(),
           given -> {
             if (mayAct.getAsBoolean()) {
               rent(wanted.rentals(), offers, given);
