--- a/src/main/java/dev/windbend/daemon/Node.java
+++ b/src/main/java/dev/windbend/daemon/Node.java
@@ -127,7 +127,9 @@
     Settings.Facts f = settings.facts();
     Map<String, double[]> dueTimes = new HashMap<>();
     Map<String, double[]> within = new HashMap<>();
+    boolean guarantee = false;
     for (Settings.Objective o : settings.objectives()) {
+      guarantee |= "guarantee".equals(o.kind());
       if (o.jobKind() != null && "finished".equals(o.kind()) && o.withinS() != null) {
         within.merge(o.jobKind(), new double[] {o.withinS()}, Node::sorted);
       } else if (o.jobKind() != null && "deadline".equals(o.kind()) && o.times() != null) {
@@ -148,7 +150,7 @@
         f.cloud().rps(),
         (int) (1024 * f.state().valueKb()),
         f.state().writeRps(),
-        new Facts.Aims(dueTimes, within));
+        new Facts.Aims(dueTimes, within, guarantee));
   }
 
   private static double[] sorted(double[] a, double[] b) {
--- a/src/main/java/dev/windbend/part/Facts.java
+++ b/src/main/java/dev/windbend/part/Facts.java
@@ -23,8 +23,12 @@
   public record TeamFact(
       String name, double cores, double coresMost, double cards, double cardsMost) {}
 
-  /** What is asked of classes of jobs: times of the deadline, and seconds to finish within. */
-  public record Aims(Map<String, double[]> dueTimes, Map<String, double[]> withinS) {
+  /**
+   * What is asked of classes of jobs: times of the deadline, and seconds to finish within; and
+   * whether work within a guarantee is to start promptly.
+   */
+  public record Aims(
+      Map<String, double[]> dueTimes, Map<String, double[]> withinS, boolean guarantee) {
     private static final double[] ONCE = {1};
 
     /** Time limits from submission, ascending. */
--- a/src/main/java/dev/windbend/part/Rounds.java
+++ b/src/main/java/dev/windbend/part/Rounds.java
@@ -17,6 +17,8 @@
 import it.unimi.dsi.fastutil.ints.IntOpenHashSet;
 import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -276,7 +278,8 @@
       }
     }
     List<Snapshot.Work> views = new ArrayList<>();
-    works.forEach(j -> views.add(work(j, now, roomOf)));
+    Set<Job> guaranteed = facts.aims().guarantee() ? guaranteed() : Set.of();
+    works.forEach(j -> views.add(work(j, now, roomOf, guaranteed)));
     // The cap is on calls to the cloud, and one call rents many.
     double calls = facts.cloudRps() * policy.periodMs() / 1000.0 / facts.nodes();
     return new Snapshot(
@@ -291,6 +294,25 @@
         offers);
   }
 
+  /** Jobs that fit into their team's guarantee together with the team's earlier ones. */
+  private Set<Job> guaranteed() {
+    List<Job> jobs = new ArrayList<>(board.all());
+    jobs.sort(Comparator.comparingLong(j -> j.submittedWallMs));
+    double[] cores = new double[facts.teams().size()];
+    double[] cards = new double[cores.length];
+    Set<Job> all = new HashSet<>();
+    for (Job j : jobs) {
+      int open = j.waitingCount() + j.placements().size();
+      cores[j.team] += open * j.spec.cores();
+      cards[j.team] += open * j.spec.cards();
+      Facts.TeamFact t = facts.teams().get(j.team);
+      if (cores[j.team] <= t.cores() + 1e-6 && cards[j.team] <= t.cards() + 1e-6) {
+        all.add(j);
+      }
+    }
+    return all;
+  }
+
   private Snapshot.Room room(Machine m, List<Placement> on, long now) {
     MachineType t = m.type;
     Snapshot.Size free = new Snapshot.Size(t.cores(), t.cards(), t.ram());
@@ -384,7 +406,8 @@
     return p.runningMs + (long) (1000 * Estimates.corrected(e, (now - p.runningMs) / 1000.0));
   }
 
-  private Snapshot.Work work(Job j, long now, Object2IntOpenHashMap<String> roomOf) {
+  private Snapshot.Work work(
+      Job j, long now, Object2IntOpenHashMap<String> roomOf, Set<Job> guaranteed) {
     boolean[] types = null;
     if (j.spec.types() != null) {
       types = new boolean[catalog.all().size()];
@@ -435,6 +458,7 @@
         (long) (1000 * estimateS),
         now - age + (long) (1000 * due.dueS()),
         due.hopeless(),
+        guaranteed.contains(j),
         age,
         j.begun(),
         j.notBeforeMs,
--- a/src/main/java/dev/windbend/plan/Planner.java
+++ b/src/main/java/dev/windbend/plan/Planner.java
@@ -198,10 +198,11 @@
     }
     long boot = bootMs(a.w);
     long slack = a.w.dueMs() - s.nowMs() - a.w.estimateMs() - boot;
-    if (slack > a.w.estimateMs() + s.periodMs() && !mustBegin(a.w)) {
+    boolean prompt = a.w.guaranteed() || mustBegin(a.w);
+    if (slack > a.w.estimateMs() + s.periodMs() && !prompt) {
       return; // can wait
     }
-    soonFree(a, keep, s.nowMs() + boot, true);
+    soonFree(a, keep, s.nowMs() + boot, !prompt);
     rent(a, keep);
     if (a.left > keep) {
       shortCores += (a.left - keep) * a.w.size().cores();
--- a/src/main/java/dev/windbend/plan/Snapshot.java
+++ b/src/main/java/dev/windbend/plan/Snapshot.java
@@ -51,7 +51,9 @@
   public record Team(double mostCores, double mostCards, double usedCores, double usedCards) {}
 
   /**
-   * The waiting tasks of a job. {@code types}: allowed ones, null for any; {@code zone} -1: any.
+   * The waiting tasks of a job. {@code types}: allowed ones, null for any; {@code zone} -1: any;
+   * {@code guaranteed}: it fits into its team's guarantee with the team's earlier jobs, and such
+   * work is to start promptly.
    */
   public record Work(
       int team,
@@ -70,6 +72,7 @@
       long estimateMs,
       long dueMs,
       boolean hopeless,
+      boolean guaranteed,
       long ageMs,
       boolean begun,
       long notBeforeMs,
--- a/src/test/java/dev/windbend/plan/PlannerTest.java
+++ b/src/test/java/dev/windbend/plan/PlannerTest.java
@@ -61,6 +61,7 @@
     long estimateMs = 9;
     long dueMs = NOW + 30_000;
     boolean hopeless;
+    boolean guaranteed;
     long ageMs;
     boolean begun;
 
@@ -82,6 +83,7 @@
           estimateMs,
           dueMs,
           hopeless,
+          guaranteed,
           ageMs,
           begun,
           0,
@@ -302,6 +304,20 @@
     assertThat(plan().rentals()).hasSize(1);
   }
 
+  @ParameterizedTest(name = "guaranteed {0}, due in {1} s: {2} rented")
+  @CsvSource({"false,900,0", "true,900,1", "false,70,0", "true,70,1"})
+  void whatIsGuaranteedNeitherWaitsNorQueuesForLong(boolean is, long due, int rented) {
+    work(
+        d -> {
+          d.size = new Size(8, 0, 1);
+          d.estimateMs = 10_000;
+          d.dueMs = NOW + due * 1000;
+          d.guaranteed = is;
+        });
+    room(0, true, 0, running(8, 40, 2, 5));
+    assertThat(plan().rentals().stream().mapToInt(Wanted.Rental::count).sum()).isEqualTo(rented);
+  }
+
   @Test
   void takesDearRoomLast() {
     work(2, 4, 1, 30, 40);
