--- a/src/main/java/dev/windbend/machine/Watch.java
+++ b/src/main/java/dev/windbend/machine/Watch.java
@@ -12,6 +12,13 @@
   private static final double BOOT_PATIENCE = 2.5;
   private static final long SHORTEST_CHARGE_MS = 60_000;
 
+  /**
+   * A worker that has lost an answer waits 4 s for it and 1 s more, then asks a node that sends it
+   * on after up to half a second. One that is silent for longer than that and its interval is gone
+   * or hangs.
+   */
+  private static final long LOST_ANSWER_MS = 6_500;
+
   /** One lost answer alone says nothing. */
   private static final int UNHEARD = 2;
 
@@ -26,7 +33,7 @@
     this.zones = zones;
     this.reportMs = (long) (1000 * reportS);
     this.leaseMs = (long) (1000 * leaseS);
-    this.silentMs = (long) (1000 * Math.max(4 * reportS, leaseS * 0.6));
+    this.silentMs = (long) (1250 * reportS) + LOST_ANSWER_MS;
   }
 
   /**
