--- a/src/main/java/dev/windbend/part/Rounds.java
+++ b/src/main/java/dev/windbend/part/Rounds.java
@@ -41,6 +41,8 @@
   private static final int OLDEST_FIRST = 4;
 
   private static final int RENTAL = 50;
+  private static final long IDLE_MS = 10_000;
+  private static final double LATELY_S = 30;
   private static final double BOOT_PATIENCE = 2.5;
   private static final double BOOT_LATE = 1.5;
 
@@ -288,12 +290,24 @@
         (long) (2_000 * facts.reportS()),
         RENTAL * (int) Math.max(1, calls),
         count % OLDEST_FIRST == 0,
+        cameLately(),
         teams,
         views,
         rooms,
         offers);
   }
 
+  /** The cores of the jobs that came while a machine could have booted. */
+  private double cameLately() {
+    double bootS = catalog.all().stream().mapToDouble(MachineType::bootS).max().orElse(0);
+    double lately = 1000 * Math.max(LATELY_S, bootS);
+    double cores = 0;
+    for (Job j : board.all()) {
+      cores += loop.wallMs() - j.submittedWallMs <= lately ? j.spec.tasks() * j.spec.cores() : 0;
+    }
+    return cores;
+  }
+
   /** Jobs that fit into their team's guarantee together with the team's earlier ones. */
   private Set<Job> guaranteed() {
     List<Job> jobs = new ArrayList<>(board.all());
@@ -346,6 +360,7 @@
         ready,
         m.tasks.isEmpty(),
         m.rentedMs + blocks * block,
+        Math.max(m.rentedMs + block, (m.idleSinceMs >= 0 ? m.idleSinceMs : now) + IDLE_MS),
         m.spot ? t.spotPrice() : t.price(),
         t.fetchGbPerS(),
         m.images,
@@ -375,6 +390,7 @@
         ready,
         false,
         ready,
+        ready,
         p.spot() ? t.spotPrice() : t.price(),
         t.fetchGbPerS(),
         new IntOpenHashSet(),
--- a/src/main/java/dev/windbend/plan/Planner.java
+++ b/src/main/java/dev/windbend/plan/Planner.java
@@ -166,15 +166,30 @@
     }
     List<Integer> spare = new ArrayList<>();
     List<Integer> back = new ArrayList<>();
+    idle(spare, back);
+    return new Wanted(stops, places, rentals, spare, back, shortCores, looks);
+  }
+
+  /** Idle machines: at the end of their block they go, those beyond the reserve before it. */
+  private void idle(List<Integer> spare, List<Integer> back) {
+    List<Line> idle = new ArrayList<>();
+    double cores = -s.reserveCores();
     for (Line l : lines) {
       if (l.room != null && l.room.up() && l.room.idle() && !l.taken) {
+        idle.add(l);
         spare.add(l.index);
-        if (l.room.paidUntilMs() <= s.nowMs()) {
-          back.add(l.index);
-        }
+        cores += l.now.cores();
+      }
+    }
+    // The dear ones first.
+    idle.sort(Comparator.<Line>comparingDouble(l -> -l.room.pricePerH()));
+    for (Line l : idle) {
+      boolean beyond = cores >= l.now.cores() && l.room.goFromMs() <= s.nowMs();
+      if (l.room.paidUntilMs() <= s.nowMs() || beyond) {
+        back.add(l.index);
+        cores -= l.now.cores();
       }
     }
-    return new Wanted(stops, places, rentals, spare, back, shortCores, looks);
   }
 
   private static boolean mustBegin(Work w) {
--- a/src/main/java/dev/windbend/plan/Snapshot.java
+++ b/src/main/java/dev/windbend/plan/Snapshot.java
@@ -13,6 +13,7 @@
     long patienceMs,
     int mostRentals,
     boolean oldestFirst,
+    double reserveCores,
     List<Team> teams,
     List<Work> works,
     List<Room> rooms,
@@ -80,7 +81,9 @@
 
   /**
    * A machine: free now if {@code up}, else all of it from {@code readyMs} on. {@code hearsMs}: how
-   * long until it can be told to start something.
+   * long until it can be told to start something; {@code paidUntilMs}: the end of its paid block;
+   * {@code goFromMs}: when it has been idle for long enough to go if there is more than the
+   * reserve.
    */
   public record Room(
       int type,
@@ -92,6 +95,7 @@
       long readyMs,
       boolean idle,
       long paidUntilMs,
+      long goFromMs,
       double pricePerH,
       double fetchGbPerS,
       IntOpenHashSet images,
--- a/src/test/java/dev/windbend/plan/PlannerTest.java
+++ b/src/test/java/dev/windbend/plan/PlannerTest.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -31,6 +32,7 @@
   private double limit = 100;
   private double used = 0;
   private boolean oldestFirst;
+  private double reserve = 1_000;
 
   private Wanted plan() {
     return Planner.plan(
@@ -40,6 +42,7 @@
             3_000,
             20,
             oldestFirst,
+            reserve,
             List.of(new Team(limit, 0, used, 0)),
             works,
             rooms,
@@ -121,6 +124,7 @@
             0,
             running.length == 0 && free == 8,
             NOW + 600_000,
+            NOW,
             spot ? 1 : 2,
             1,
             new IntOpenHashSet(new int[] {7}),
@@ -343,6 +347,7 @@
               r.readyMs(),
               r.idle(),
               r.paidUntilMs(),
+              r.goFromMs(),
               r.pricePerH(),
               r.fetchGbPerS(),
               r.images(),
@@ -382,12 +387,36 @@
     room(0, true, 8);
     rooms.add(
         new Room(
-            0, 0, true, true, 0, WHOLE, 0, true, NOW - 1, 1, 1, new IntOpenHashSet(), List.of()));
+            0,
+            0,
+            true,
+            true,
+            0,
+            WHOLE,
+            0,
+            true,
+            NOW - 1,
+            NOW,
+            1,
+            1,
+            new IntOpenHashSet(),
+            List.of()));
     Wanted w = plan();
     assertThat(w.giveBack()).containsExactly(1);
     assertThat(w.spare()).containsExactly(0, 1);
   }
 
+  @ParameterizedTest(name = "a reserve of {0} cores")
+  @CsvSource({"24,''", "23,''", "16,1", "9,1", "8,1 0", "0,1 0 2"})
+  void givesBackIdleMachinesBeyondTheReserveDearOnesFirst(double keep, String back) {
+    reserve = keep;
+    room(0, true, 8);
+    room(0, false, 8);
+    room(0, true, 8);
+    assertThat(plan().giveBack().stream().map(String::valueOf).collect(Collectors.joining(" ")))
+        .isEqualTo(back);
+  }
+
   @ParameterizedTest
   @CsvSource({"0,100,false", "60,100,false", "61,150,false", "110,150,false", "111,150,true"})
   void isDueAtTheNextLimitThatCanStillBeMet(double age, double due, boolean hopeless) {
