--- a/src/main/java/dev/windbend/machine/Fleet.java
+++ b/src/main/java/dev/windbend/machine/Fleet.java
@@ -247,7 +247,13 @@
       return;
     }
     for (Hire h : List.copyOf(hires.values())) {
-      if (!h.answered && h.recorded() && !h.asking) {
+      if (h.answered || !h.recorded() || h.asking) {
+        continue;
+      }
+      if (!h.sent && refused(h.type.index(), h.zone, h.asked.spot())) {
+        // A moment ago there were none of its kind; never asked for, so nothing can come of it.
+        drop(h);
+      } else {
         ask(h);
       }
     }
@@ -285,6 +291,7 @@
 
   private void ask(Hire h) {
     h.asking = true;
+    h.sent = true;
     cloud.rent(
         new CloudMessages.Rental(
             h.name, h.asked.type(), h.asked.zone(), h.asked.spot(), h.asked.count()),
--- a/src/main/java/dev/windbend/machine/Hire.java
+++ b/src/main/java/dev/windbend/machine/Hire.java
@@ -28,6 +28,10 @@
   final List<Machine> machines = new ArrayList<>();
 
   boolean asking;
+
+  /** The cloud may have heard of it; so of one found in the records. */
+  boolean sent;
+
   boolean answered;
   private boolean over;
   private long version;
@@ -56,6 +60,7 @@
     this.fence = asked.fence(version);
     this.madeMs = nowMs;
     this.answered = !asked.open();
+    this.sent = version > 0;
     if (version == 0) {
       changed(nowMs, true);
     }
--- a/src/main/java/dev/windbend/part/Rounds.java
+++ b/src/main/java/dev/windbend/part/Rounds.java
@@ -41,6 +41,7 @@
   private static final int OLDEST_FIRST = 4;
 
   private static final int RENTAL = 50;
+  private static final int MOST_PENDING = 8;
   private static final long IDLE_MS = 10_000;
   private static final double LATELY_S = 30;
   private static final double BOOT_PATIENCE = 2.5;
@@ -206,9 +207,11 @@
   }
 
   private void rent(List<Wanted.Rental> rentals, List<Snapshot.Offer> offers, int less) {
-    // Event rounds are many: while the cloud has not answered the last rentals, none is added.
+    // Event rounds are many, and each batch takes changes and calls.
     long now = loop.nowMs();
-    if (rentals.isEmpty() || !fleet.pending().isEmpty() || now - lastRentMs < RENT_GAP_MS) {
+    if (rentals.isEmpty()
+        || fleet.pending().size() > MOST_PENDING
+        || now - lastRentMs < RENT_GAP_MS) {
       return;
     }
     lastRentMs = now;
--- a/src/main/java/dev/windbend/store/StoreClient.java
+++ b/src/main/java/dev/windbend/store/StoreClient.java
@@ -30,6 +30,7 @@
   private final ArrayDeque<Waiting> asking = new ArrayDeque<>();
   private final long pauseMs;
   private boolean pumping;
+  private boolean usersTurn = true;
   private long pumpAtMs = Long.MAX_VALUE;
   private long lastOkMs;
   private long firstFailMs = -1;
@@ -57,7 +58,7 @@
     this.address = address;
     this.ops = ops;
     // One node may own most of the work, so each gets more than an even part; 429 slows it down.
-    double share = Math.min(1.0, 2.5 / nodes);
+    double share = Math.min(1.0, 1.6 / nodes);
     this.reads = new Rate(loop, rps * share);
     this.writes = new Rate(loop, writeRps * share, writeRps / nodes);
     this.pauseMs = Math.max(50, (long) (1_000 * 4.0 * nodes / rps));
@@ -134,7 +135,7 @@
         () -> done.accept(new Listed(false, List.of(), false, 0)));
   }
 
-  /** Compares only, or writes for a user: goes before what owners write. */
+  /** Compares only, or writes for a user: does not wait behind what owners write. */
   public void commitFirst(Draft draft, Consumer<Outcome> done) {
     commit(draft.size() == 0 ? asking : first, draft, done);
   }
@@ -271,16 +272,16 @@
     pump();
   }
 
-  /** Users' writes first, then owners', and reads beside them: none waits behind another kind. */
+  /**
+   * Reads beside writes, and users' writes in turn with owners': none waits behind another kind.
+   */
   private void pump() {
     if (pumping) {
       return;
     }
     pumping = true;
     try {
-      long wait = drain(first);
-      wait = Math.min(wait, first.isEmpty() ? drain(later) : Long.MAX_VALUE);
-      wait = Math.min(wait, drain(asking));
+      long wait = Math.min(drainWrites(), drain(asking));
       long at = wait == Long.MAX_VALUE ? wait : loop.nowMs() + wait;
       if (at < pumpAtMs) {
         pumpAtMs = at;
@@ -296,19 +297,39 @@
     }
   }
 
-  /** Sends what may go; says how long the rest must wait. */
-  private long drain(ArrayDeque<Waiting> lane) {
-    while (!lane.isEmpty()) {
-      Waiting w = lane.peek();
-      long wait = Math.max(reads.waitMs(1), w.writeCost > 0 ? writes.waitMs(w.writeCost) : 0);
+  private long drainWrites() {
+    while (true) {
+      boolean users = later.isEmpty() || usersTurn && !first.isEmpty();
+      long wait = sendOne(users ? first : later);
       if (wait > 0) {
         return wait;
       }
+      // In a burst of submissions rentals would come too late, were users' writes always first.
+      usersTurn = !users;
+    }
+  }
+
+  private long drain(ArrayDeque<Waiting> lane) {
+    long wait;
+    do {
+      wait = sendOne(lane);
+    } while (wait == 0);
+    return wait;
+  }
+
+  /** 0: sent; else how long it must wait. */
+  private long sendOne(ArrayDeque<Waiting> lane) {
+    Waiting w = lane.peek();
+    if (w == null) {
+      return Long.MAX_VALUE;
+    }
+    long wait = Math.max(reads.waitMs(1), w.writeCost > 0 ? writes.waitMs(w.writeCost) : 0);
+    if (wait == 0) {
       lane.poll();
       reads.take(1);
       writes.take(w.writeCost);
       w.send.run();
     }
-    return Long.MAX_VALUE;
+    return wait;
   }
 }
