--- a/src/main/java/dev/windbend/daemon/Node.java
+++ b/src/main/java/dev/windbend/daemon/Node.java
@@ -127,9 +127,14 @@
     Settings.Facts f = settings.facts();
     Map<String, double[]> dueTimes = new HashMap<>();
     Map<String, double[]> within = new HashMap<>();
-    boolean guarantee = false;
+    Map<String, Double> wait = new HashMap<>();
+    double guaranteeS = 0;
     for (Settings.Objective o : settings.objectives()) {
-      guarantee |= "guarantee".equals(o.kind());
+      if ("guarantee".equals(o.kind()) && o.withinS() != null) {
+        guaranteeS = o.withinS();
+      } else if (o.jobKind() != null && "wait".equals(o.kind()) && o.withinS() != null) {
+        wait.merge(o.jobKind(), o.withinS(), Math::max);
+      }
       if (o.jobKind() != null && "finished".equals(o.kind()) && o.withinS() != null) {
         within.merge(o.jobKind(), new double[] {o.withinS()}, Node::sorted);
       } else if (o.jobKind() != null && "deadline".equals(o.kind()) && o.times() != null) {
@@ -150,7 +155,7 @@
         f.cloud().rps(),
         (int) (1024 * f.state().valueKb()),
         f.state().writeRps(),
-        new Facts.Aims(dueTimes, within, guarantee));
+        new Facts.Aims(dueTimes, within, wait, guaranteeS));
   }
 
   private static double[] sorted(double[] a, double[] b) {
--- a/src/main/java/dev/windbend/part/Facts.java
+++ b/src/main/java/dev/windbend/part/Facts.java
@@ -24,11 +24,14 @@
       String name, double cores, double coresMost, double cards, double cardsMost) {}
 
   /**
-   * What is asked of classes of jobs: times of the deadline, and seconds to finish within; and
-   * whether work within a guarantee is to start promptly.
+   * What is asked of classes of jobs: times of the deadline, seconds to finish within, seconds to
+   * start within; and how soon work within a guarantee is to start, 0: nothing is asked.
    */
   public record Aims(
-      Map<String, double[]> dueTimes, Map<String, double[]> withinS, boolean guarantee) {
+      Map<String, double[]> dueTimes,
+      Map<String, double[]> withinS,
+      Map<String, Double> waitS,
+      double guaranteeS) {
     private static final double[] ONCE = {1};
 
     /** Time limits from submission, ascending. */
--- a/src/main/java/dev/windbend/part/Rounds.java
+++ b/src/main/java/dev/windbend/part/Rounds.java
@@ -283,7 +283,7 @@
       }
     }
     List<Snapshot.Work> views = new ArrayList<>();
-    Set<Job> guaranteed = facts.aims().guarantee() ? guaranteed() : Set.of();
+    Set<Job> guaranteed = facts.aims().guaranteeS() > 0 ? guaranteed() : Set.of();
     works.forEach(j -> views.add(work(j, now, roomOf, guaranteed)));
     // The cap is on calls to the cloud, and one call rents many.
     double calls = facts.cloudRps() * policy.periodMs() / 1000.0 / facts.nodes();
@@ -459,6 +459,10 @@
                 policy.dueFromAims());
     long age = loop.wallMs() - j.submittedWallMs;
     double estimateS = estimateS(j);
+    double startS =
+        Math.max(
+            facts.aims().waitS().getOrDefault(j.spec.kind(), 0.0),
+            guaranteed.contains(j) ? facts.aims().guaranteeS() : 0);
     Deadlines due = Deadlines.next(limits, age / 1000.0, estimateS);
     return new Snapshot.Work(
         j.team,
@@ -478,6 +482,7 @@
         now - age + (long) (1000 * due.dueS()),
         due.hopeless(),
         guaranteed.contains(j),
+        now - age + (long) (1000 * startS),
         age,
         j.begun(),
         j.notBeforeMs,
--- a/src/main/java/dev/windbend/plan/Planner.java
+++ b/src/main/java/dev/windbend/plan/Planner.java
@@ -30,6 +30,9 @@
   /** Room at twice the cheapest price is taken only where it saves so much time. */
   private static final double DEAR_MS = 3_000;
 
+  /** What is to be free soon may be late by so much. */
+  private static final double EARLY_MS = 1_000;
+
   private final Snapshot s;
   private final List<Line> lines = new ArrayList<>();
   private final List<Full> full = new ArrayList<>();
@@ -253,28 +256,41 @@
 
   /**
    * Idle room on machines that are up: those that can start soonest and cost least, then the
-   * tightest fit. So dear machines run empty first.
+   * tightest fit. So dear machines run empty first. Where an early start counts, a machine that has
+   * the image and is free before another could have fetched it is held instead.
    */
   private void useIdle(Ask a, int keep) {
     Work w = a.w;
     double newOne = costOfANewOne(w);
+    boolean early = s.nowMs() < w.startByMs();
     List<Choice> choices = new ArrayList<>();
     looks += lines.size();
     for (Line l : lines) {
-      if (l.room != null && l.room.up() && l.now.holds(w.size()) && a.mayUse(l)) {
-        long fetch = fetchMs(w, l);
-        if (l.fitsNow(w.estimateMs() + fetch, w.size()) && extendingCosts(w, l) <= newOne) {
-          double dear = cheapest > 0 ? l.room.pricePerH() / cheapest - 1 : 0;
-          double score = l.now.cores() + (fetch + l.room.hearsMs() + DEAR_MS * dear) / 10.0;
-          choices.add(new Choice(l, score, 0, null));
+      if (l.room == null || !l.room.up() || !a.mayUse(l)) {
+        continue;
+      }
+      long fetch = fetchMs(w, l);
+      double delay = fetch + l.room.hearsMs();
+      if (l.now.holds(w.size()) && l.fitsNow(w.estimateMs() + fetch, w.size())) {
+        if (extendingCosts(w, l) <= newOne) {
+          choices.add(new Choice(l, score(l, delay), 0, null));
+        }
+      } else if (early && fetch == 0) {
+        long at = l.firstFit(w.estimateMs(), w.size());
+        if (at - s.nowMs() < w.imageGb() * 1000 / l.fetchGbPerS) {
+          choices.add(new Choice(l, score(l, at - s.nowMs() + EARLY_MS), at, null));
         }
       }
     }
     choices.sort(Choice.BEST);
     for (Choice c : choices) {
-      long run = w.estimateMs() + fetchMs(w, c.line);
-      while (a.left > keep && a.mayUse(c.line) && c.line.fitsNow(run, w.size())) {
-        place(a, c.line);
+      if (c.atMs == 0) {
+        long run = w.estimateMs() + fetchMs(w, c.line);
+        while (a.left > keep && a.mayUse(c.line) && c.line.fitsNow(run, w.size())) {
+          place(a, c.line);
+        }
+      } else if (a.left > keep && a.mayUse(c.line)) {
+        take(a, c.line, c.atMs);
       }
       if (a.left <= keep) {
         return;
@@ -282,6 +298,11 @@
     }
   }
 
+  private double score(Line l, double delayMs) {
+    double dear = cheapest > 0 ? l.room.pricePerH() / cheapest - 1 : 0;
+    return l.now.cores() + (delayMs + DEAR_MS * dear) / 10.0;
+  }
+
   /** Running past the paid block extends it. That must not cost more than a new machine would. */
   private double extendingCosts(Work w, Line l) {
     long past = s.nowMs() + w.estimateMs() - l.room.paidUntilMs();
--- a/src/main/java/dev/windbend/plan/Snapshot.java
+++ b/src/main/java/dev/windbend/plan/Snapshot.java
@@ -54,7 +54,7 @@
   /**
    * The waiting tasks of a job. {@code types}: allowed ones, null for any; {@code zone} -1: any;
    * {@code guaranteed}: it fits into its team's guarantee with the team's earlier jobs, and such
-   * work is to start promptly.
+   * work is to start promptly; {@code startByMs}: until then an early start counts for an aim.
    */
   public record Work(
       int team,
@@ -74,6 +74,7 @@
       long dueMs,
       boolean hopeless,
       boolean guaranteed,
+      long startByMs,
       long ageMs,
       boolean begun,
       long notBeforeMs,
--- a/src/test/java/dev/windbend/plan/PlannerTest.java
+++ b/src/test/java/dev/windbend/plan/PlannerTest.java
@@ -58,6 +58,7 @@
     boolean together;
     boolean spread;
     boolean spot = true;
+    double imageGb = 1;
     int tasks = 1;
     int waiting = 1;
     int[] placed = new int[2];
@@ -65,6 +66,7 @@
     long dueMs = NOW + 30_000;
     boolean hopeless;
     boolean guaranteed;
+    long startByMs;
     long ageMs;
     boolean begun;
 
@@ -79,7 +81,7 @@
           spread,
           spot,
           7,
-          1,
+          imageGb,
           tasks,
           waiting,
           placed,
@@ -87,6 +89,7 @@
           dueMs,
           hopeless,
           guaranteed,
+          startByMs,
           ageMs,
           begun,
           0,
@@ -322,6 +325,22 @@
     assertThat(plan().rentals().stream().mapToInt(Wanted.Rental::count).sum()).isEqualTo(rented);
   }
 
+  @ParameterizedTest(name = "image at hand in {0} s, an early start counts {1}: placed {2}")
+  @CsvSource({"2,true,0", "2,false,1", "9,true,1"})
+  void whereAnEarlyStartCountsAMachineWithTheImageIsHeld(long freeIn, boolean counts, int placed) {
+    work(
+        d -> {
+          d.size = new Size(8, 0, 1);
+          d.imageGb = 8;
+          d.estimateMs = 10_000;
+          d.startByMs = counts ? NOW + 5_000 : 0;
+        });
+    room(0, true, 0, running(8, freeIn, 2, 5));
+    room(0, true, 8);
+    rooms.get(1).images().clear();
+    assertThat(plan().places()).hasSize(placed);
+  }
+
   @Test
   void takesDearRoomLast() {
     work(2, 4, 1, 30, 40);
