--- a/src/main/java/dev/windbend/machine/Fleet.java
+++ b/src/main/java/dev/windbend/machine/Fleet.java
@@ -86,7 +86,8 @@
    * asked again under its name; of the others the machines are this part's unless a later record
    * names them.
    */
-  public void restore(String name, HireRecord record, long version, Directory directory) {
+  public void restore(
+      String name, HireRecord record, long version, Directory directory, boolean inherited) {
     if (hires.containsKey(name)) {
       return;
     }
@@ -100,7 +101,9 @@
         if (former != null) {
           leave(former);
         }
-        add(n, h, loop.nowMs()).listed();
+        Machine m = add(n, h, loop.nowMs());
+        m.listed();
+        m.inherited = inherited;
       }
     }
     if (h.machines.size() < record.machines().size()) {
@@ -343,6 +346,27 @@
     host.touch(h);
   }
 
+  /**
+   * Gives back those taken over that have not been heard of and are not listed: some may have been
+   * taken while nobody owned them, and silence alone would tell late. To be called once all that
+   * was rented before must be listed.
+   */
+  public void checkInherited() {
+    cloud.list(
+        listed -> {
+          if (closed || listed == null) {
+            return;
+          }
+          Set<String> there = new HashSet<>();
+          listed.forEach(l -> there.add(l.name()));
+          for (Machine m : List.copyOf(machines.values())) {
+            if (m.inherited && m.seenMs < 0 && !there.contains(m.name)) {
+              giveBack(m, "gone since before the takeover");
+            }
+          }
+        });
+  }
+
   /**
    * Looks through the cloud's list for failed machines of ours, and for machines that no part
    * knows. The list lags, so strays must stay unknown for long.
--- a/src/main/java/dev/windbend/machine/Machine.java
+++ b/src/main/java/dev/windbend/machine/Machine.java
@@ -52,6 +52,9 @@
   /** Start refused for lack of room: nothing new before this time. */
   public long fullUntilMs;
 
+  /** Taken over from a former owner. */
+  boolean inherited;
+
   /** A report of it waits for its answer, so it can be told something at once. */
   public boolean listening;
 
--- a/src/main/java/dev/windbend/machine/Watch.java
+++ b/src/main/java/dev/windbend/machine/Watch.java
@@ -1,6 +1,7 @@
 package dev.windbend.machine;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -8,7 +9,10 @@
 /** Finds machines of a part that are silent, deaf, never came up, or are due to leave. */
 public final class Watch {
   private static final long RECALL_SLACK_MS = 1_000;
-  private static final double MISSED_REPORTS = 2.5;
+
+  /** A living machine that hears us reports at least so often, in intervals. */
+  private static final double MISSED_REPORTS = 1.3;
+
   private static final double BOOT_PATIENCE = 2.5;
   private static final long SHORTEST_CHARGE_MS = 60_000;
 
@@ -28,11 +32,16 @@
   private final long leaseMs;
   private final long silentMs;
 
+  /** When each zone last looked cut off. */
+  private final long[] cutMs;
+
   public Watch(Fleet fleet, int zones, double reportS, double leaseS) {
     this.fleet = fleet;
     this.zones = zones;
     this.reportMs = (long) (1000 * reportS);
     this.leaseMs = (long) (1000 * leaseS);
+    this.cutMs = new long[zones];
+    Arrays.fill(cutMs, Long.MIN_VALUE / 2);
     this.silentMs = (long) (1250 * reportS) + LOST_ANSWER_MS;
   }
 
@@ -76,12 +85,17 @@
       }
     }
     promised.forEach((to, machines) -> fleet.lend(machines, to));
+    for (int z = 0; z < zones; z++) {
+      // Nearly all of a zone at once is a cut; a wave of machines taken back is less.
+      if (missed[z] > 1 && missed[z] > 2 * heard[z]) {
+        cutMs[z] = now;
+      }
+    }
     for (Machine m : silent) {
-      // Most of a zone at once looks like a cut: the tasks go on behind it, so they get their
-      // whole lease.
-      boolean cut = missed[m.zone] > 1 && missed[m.zone] > heard[m.zone];
-      long patience = cut ? leaseMs + 2 * reportMs : silentMs;
-      if (now - Math.max(m.seenMs, sureSinceMs) > patience) {
+      // Behind a cut the tasks go on, so they get their whole lease; after it, time to find us.
+      long quiet = now - Math.max(m.seenMs, sureSinceMs);
+      boolean cut = cutMs[m.zone] == now;
+      if (cut ? quiet > leaseMs + 2 * reportMs : now - cutMs[m.zone] > silentMs) {
         fleet.giveBack(m, "silent");
       }
     }
@@ -96,7 +110,7 @@
     long patience = (long) Math.max(SHORTEST_CHARGE_MS, 1000 * BOOT_PATIENCE * m.type.bootS());
     if (now - m.rentedMs > patience) {
       fleet.giveBack(m, "never came up");
-    } else if (!m.tasks.isEmpty() && now - Math.max(sureSinceMs, m.rentedMs) > leaseMs + silentMs) {
+    } else if (!m.tasks.isEmpty() && now - Math.max(sureSinceMs, m.rentedMs) > 2 * silentMs) {
       fleet.giveBack(m, "silent since the takeover");
     }
   }
--- a/src/main/java/dev/windbend/part/Owner.java
+++ b/src/main/java/dev/windbend/part/Owner.java
@@ -73,6 +73,8 @@
   private final Reports reports;
   private boolean ready;
   private boolean closed;
+  private boolean checkedInherited;
+  private long startedMs;
   private long lastCheckMs;
   private long lastTellMs;
   private long sureSinceMs = -1;
@@ -191,6 +193,7 @@
         token,
         board.all().size(),
         fleet.machines().size());
+    startedMs = now;
     lastCheckMs = now;
     tick();
   }
@@ -292,7 +295,7 @@
   private void hire(String name, Stored s) {
     HireRecord r = Json.read(s.value(), HireRecord.class);
     if (r != null) {
-      fleet.restore(name, r, s.version(), directory);
+      fleet.restore(name, r, s.version(), directory, !ready);
     }
   }
 
@@ -438,6 +441,10 @@
         lastTellMs = now;
         tell(now);
       }
+      if (!checkedInherited && now - startedMs >= 2_500 * facts.listLagS()) {
+        checkedInherited = true;
+        fleet.checkInherited();
+      }
       if (part == 0 && now - lastCheckMs >= 2_000 * facts.listLagS()) {
         lastCheckMs = now;
         fleet.check((long) (8_000 * facts.listLagS()), directory::knows, strays::note);
--- a/src/main/java/dev/windbend/part/Rounds.java
+++ b/src/main/java/dev/windbend/part/Rounds.java
@@ -43,7 +43,7 @@
   private static final int RENTAL = 50;
   private static final int MOST_PENDING = 8;
   private static final long IDLE_MS = 10_000;
-  private static final double LATELY_S = 30;
+  private static final double LATELY_S = 60;
   private static final double BOOT_PATIENCE = 2.5;
   private static final double BOOT_LATE = 1.5;
 
