--- a/src/main/java/dev/windbend/part/Rounds.java
+++ b/src/main/java/dev/windbend/part/Rounds.java
@@ -35,7 +35,7 @@
   /** Rounds on events take no more of the processor than one part in so many. */
   private static final int COST_PART = 15;
 
-  private static final long RENT_GAP_MS = 1_000;
+  private static final long RENT_GAP_MS = 2_000;
 
   /** One round in so many serves the long overdue first. */
   private static final int OLDEST_FIRST = 4;
--- a/src/main/java/dev/windbend/plan/Planner.java
+++ b/src/main/java/dev/windbend/plan/Planner.java
@@ -453,7 +453,6 @@
       Offer o = s.offers().get(best);
       rentals++;
       rented[best]++;
-      machinesIn[o.zone()]++;
       Line l = new Line(o, s.nowMs());
       lines.add(l);
       full.clear();
@@ -465,7 +464,10 @@
     }
   }
 
-  /** The cheapest kind; of two zones at the same price the one with fewer of our machines. */
+  /**
+   * The cheapest kind; of two zones at the same price the one that had fewer of our machines before
+   * this round, so that a round needs one rental and not one for each zone.
+   */
   private int cheapest(Ask a) {
     int best = -1;
     for (int i = 0; i < s.offers().size(); i++) {
--- a/src/main/java/dev/windbend/store/Committer.java
+++ b/src/main/java/dev/windbend/store/Committer.java
@@ -17,6 +17,9 @@
 
   private static final long AGAIN_MS = 300;
 
+  /** Each change of a large write takes this part of the usual pause. */
+  private static final double GAP_A_CHANGE = 0.6;
+
   private final Loop loop;
   private final StoreClient store;
   private final String guardKey;
@@ -102,9 +105,8 @@
     }
     changed.removeAll(batch);
     busy = true;
-    // What changes meanwhile goes together: so changes a second stay the same however much there
-    // is.
-    notBeforeMs = now + gapMs;
+    // What changes meanwhile goes together: changes a second do not grow with what there is.
+    notBeforeMs = now + (long) (gapMs * Math.max(1, GAP_A_CHANGE * draft.size()));
     store.commit(draft, outcome -> settle(batch, outcome));
   }
 
