--- a/src/main/java/dev/windbend/machine/Hire.java
+++ b/src/main/java/dev/windbend/machine/Hire.java
@@ -12,7 +12,8 @@
  * machine would take most of the changes that the state service allows.
  */
 final class Hire implements Unit {
-  private static final long LAZY_MS = 8_000;
+  /** A name too many does no harm: a successor looks for it in the cloud's list. */
+  private static final long LAZY_MS = 60_000;
 
   final String name;
   final String key;
--- a/src/main/java/dev/windbend/machine/Watch.java
+++ b/src/main/java/dev/windbend/machine/Watch.java
@@ -23,6 +23,9 @@
    */
   private static final long LOST_ANSWER_MS = 6_500;
 
+  /** Promised machines go together: each handing over is a change in the state service. */
+  private static final long LEND_GAP_MS = 2_000;
+
   /** One lost answer alone says nothing. */
   private static final int UNHEARD = 2;
 
@@ -32,6 +35,8 @@
   private final long leaseMs;
   private final long silentMs;
 
+  private long lentMs = Long.MIN_VALUE / 2;
+
   /** When each zone last looked cut off. */
   private final long[] cutMs;
 
@@ -84,7 +89,10 @@
         promised.computeIfAbsent(m.promisedTo, k -> new ArrayList<>()).add(m);
       }
     }
-    promised.forEach((to, machines) -> fleet.lend(machines, to));
+    if (!promised.isEmpty() && now - lentMs >= LEND_GAP_MS) {
+      lentMs = now;
+      promised.forEach((to, machines) -> fleet.lend(machines, to));
+    }
     for (int z = 0; z < zones; z++) {
       // Nearly all of a zone at once is a cut; a wave of machines taken back is less.
       if (missed[z] > 1 && missed[z] > 2 * heard[z]) {
--- a/src/main/java/dev/windbend/part/Loans.java
+++ b/src/main/java/dev/windbend/part/Loans.java
@@ -15,7 +15,7 @@
 /** Machines that go from one part to another: asked for, given, promised. */
 final class Loans {
   private static final Logger LOG = LoggerFactory.getLogger(Loans.class);
-  private static final long ASK_GAP_MS = 1_000;
+  private static final long ASK_GAP_MS = 2_000;
 
   private static final int MOST = 100;
 
