--- a/src/main/java/dev/windbend/machine/Machine.java
+++ b/src/main/java/dev/windbend/machine/Machine.java
@@ -78,6 +78,8 @@
   /** On its way to another part. */
   private boolean lent;
 
+  private boolean used;
+
   Machine(String name, Hire hire, long rentedMs, long nowMs) {
     this.name = name;
     this.hire = hire;
@@ -121,7 +123,17 @@
     return recorded() && confirmed && !draining && !returning && !gone && nowMs >= fullUntilMs;
   }
 
+  /**
+   * May be given on while idle. Not if this part was given it and had no use for it: parts that all
+   * lack machines of another kind would pass it round for ever, and the cloud could not rent it to
+   * them as what they need.
+   */
+  public boolean mayBeLent() {
+    return used || hire.fence == 0;
+  }
+
   public void add(Placement p) {
+    used = true;
     tasks.put(p.taskName(), p);
     idleSinceMs = -1;
   }
--- a/src/main/java/dev/windbend/part/Loans.java
+++ b/src/main/java/dev/windbend/part/Loans.java
@@ -87,6 +87,7 @@
     List<Machine> given = new ArrayList<>();
     for (Machine m : spare) {
       if (given.size() < count
+          && m.mayBeLent()
           && m.usable(loop.nowMs())
           && m.tasks.isEmpty()
           && fleet.find(m.name) == m) {
