--- a/src/main/java/dev/windbend/daemon/Node.java
+++ b/src/main/java/dev/windbend/daemon/Node.java
@@ -187,9 +187,9 @@
   }
 
   /** An owner elsewhere, or of another part here, lacks machines. -1: the part is not ours. */
-  private int lend(int from, int to, int count, boolean guaranteed) {
+  private int lend(int from, int to, int count, double has) {
     Owner o = owners.get(from);
-    return o == null ? -1 : o.lend(to, count, guaranteed);
+    return o == null ? -1 : o.lend(to, count, has);
   }
 
   private void changed(String key, Stored now) {
--- a/src/main/java/dev/windbend/part/Loans.java
+++ b/src/main/java/dev/windbend/part/Loans.java
@@ -18,6 +18,7 @@
   private static final long ASK_GAP_MS = 2_000;
 
   private static final int MOST = 100;
+  private static final double STARVED = 0.5;
 
   private final int part;
   private final Loop loop;
@@ -56,6 +57,7 @@
     double below = guaranteedCores - cores(m -> true);
     // What the cloud still has is not taken from others.
     boolean guaranteed = below > 0 && !cloudHasMore;
+    double has = guaranteed ? 1 - below / guaranteedCores : 1;
     if (guaranteed) {
       count = Math.min(count, (int) Math.ceil(below / largest));
     }
@@ -64,7 +66,7 @@
     lender.ask(
         part,
         Math.min(MOST, count),
-        guaranteed,
+        has,
         n -> {
           asking = false;
           given.accept(n);
@@ -80,10 +82,10 @@
   }
 
   /**
-   * Another part lacks machines: it gets idle ones, and, if it is within its teams' guarantees, the
-   * machines by which this part is above its own, as soon as they are empty.
+   * Another part lacks machines: it gets idle ones, and, if it has less than its teams' guarantees,
+   * some of the busy ones as soon as they are empty.
    */
-  int lend(int to, int count, boolean guaranteed) {
+  int lend(int to, int count, double has) {
     List<Machine> given = new ArrayList<>();
     for (Machine m : spare) {
       if (given.size() < count
@@ -96,16 +98,24 @@
     }
     spare.removeAll(given);
     fleet.lend(given, to);
-    if (guaranteed && given.size() < count) {
-      promise(to, count - given.size());
+    if (has < 1 && given.size() < count) {
+      promise(to, count - given.size(), has);
     }
     return given.size();
   }
 
-  /** To a part below its guarantee: what this part has above its own. */
-  private void promise(int to, int count) {
+  /**
+   * To a part below its guarantee: what this part has above its own, and, to one that has hardly
+   * any of it, half of what this one has more, as parts of the guarantees.
+   */
+  private void promise(int to, int count, double has) {
     // What is booting may take long: given away is only what is there.
-    double above = cores(m -> m.usable(loop.nowMs())) - guaranteedCores;
+    double up = cores(m -> m.usable(loop.nowMs()));
+    double above = up - guaranteedCores;
+    if (has < STARVED) {
+      // Not all guarantees can be met, so they are met alike: no part is left with nothing.
+      above = Math.max(above, (up - has * guaranteedCores) / 2);
+    }
     int left = count;
     for (Machine m : fleet.machines()) {
       left -= m.promisedTo == to ? 1 : 0;
--- a/src/main/java/dev/windbend/part/Owner.java
+++ b/src/main/java/dev/windbend/part/Owner.java
@@ -79,9 +79,12 @@
   private long lastTellMs;
   private long sureSinceMs = -1;
 
-  /** Asks the other parts' owners for machines; hands how many are coming. */
+  /**
+   * Asks the other parts' owners for machines; hands how many are coming. {@code has}: which part
+   * of its guarantee the asking part has; 1 or more: all of it, or the cloud has more machines.
+   */
   public interface Lender {
-    void ask(int part, int count, boolean guaranteed, IntConsumer given);
+    void ask(int part, int count, double has, IntConsumer given);
   }
 
   /** What all parts of a node share. */
@@ -315,8 +318,8 @@
   }
 
   /** Lends to another part; says how many machines are coming. */
-  public int lend(int to, int count, boolean guaranteed) {
-    return mayAct() ? loans.lend(to, count, guaranteed) : 0;
+  public int lend(int to, int count, double has) {
+    return mayAct() ? loans.lend(to, count, has) : 0;
   }
 
   // ---- what the slices need
--- a/src/main/java/dev/windbend/peer/Lending.java
+++ b/src/main/java/dev/windbend/peer/Lending.java
@@ -25,14 +25,14 @@
 
   /** Lends from a part owned here; -1 if it is not. */
   public interface Local {
-    int lend(int from, int to, int count, boolean guaranteed);
+    int lend(int from, int to, int count, double has);
   }
 
   record Ask(
       @JsonProperty("from") int from,
       @JsonProperty("to") int to,
       @JsonProperty("count") int count,
-      @JsonProperty("guaranteed") boolean guaranteed) {}
+      @JsonProperty("has") double has) {}
 
   record Given(@JsonProperty("count") int count) {}
 
@@ -46,38 +46,37 @@
   }
 
   @Override
-  public void ask(int part, int count, boolean guaranteed, IntConsumer given) {
-    next(part, 1, count, 0, guaranteed, given);
+  public void ask(int part, int count, double has, IntConsumer given) {
+    next(part, 1, count, 0, has, given);
   }
 
-  private void next(
-      int part, int step, int count, int sofar, boolean guaranteed, IntConsumer given) {
+  private void next(int part, int step, int count, int sofar, double has, IntConsumer given) {
     if (step >= parts || sofar >= count) {
       given.accept(sofar);
       return;
     }
     int from = (part + step) % parts;
-    int here = local.lend(from, part, count - sofar, guaranteed);
+    int here = local.lend(from, part, count - sofar, has);
     if (here >= 0) {
-      next(part, step + 1, count, sofar + here, guaranteed, given);
+      next(part, step + 1, count, sofar + here, has, given);
       return;
     }
     String owner = ownerOf.apply(from);
     String address = owner == null ? null : addresses.get(owner);
     if (address == null) {
-      next(part, step + 1, count, sofar, guaranteed, given);
+      next(part, step + 1, count, sofar, has, given);
       return;
     }
     web.call(
         address,
         "POST",
         PATH,
-        Json.write(new Ask(from, part, count - sofar, guaranteed)),
+        Json.write(new Ask(from, part, count - sofar, has)),
         LIMIT_MS,
         reply -> {
           Given g = reply.ok() ? Json.read(reply.body(), Given.class) : null;
           int got = g == null ? 0 : Math.max(0, g.count());
-          next(part, step + 1, count, sofar + got, guaranteed, given);
+          next(part, step + 1, count, sofar + got, has, given);
         });
   }
 
@@ -87,7 +86,7 @@
       done.accept(Web.Answer.bare(400));
       return;
     }
-    int given = local.lend(a.from(), a.to(), a.count(), a.guaranteed());
+    int given = local.lend(a.from(), a.to(), a.count(), a.has());
     done.accept(Web.Answer.of(200, new Given(Math.max(0, given))));
   }
 }
--- a/src/test/java/dev/windbend/daemon/RulesTest.java
+++ b/src/test/java/dev/windbend/daemon/RulesTest.java
@@ -291,6 +291,28 @@
     }
   }
 
+  /** Three times more work than machines for it, for minutes: no team, size or class starves. */
+  @Test
+  void everyJobBeginsWithinFourMinutesWhileCapacityIsShort() {
+    for (long seed = 1; seed <= 3; seed++) {
+      World w = new World(seed);
+      w.capacity = 4;
+      w.begin(0, 1);
+      for (int n = 0; n < 60; n++) {
+        World.User u = w.new User(n, n % 10 == 0 ? 40 : 1 + n % 7, null, true, false);
+        w.time.at(3_000 + 2_500 * n, u::submit);
+      }
+      w.time.runUntil(1_200_000);
+      assertThat(w.violations).isEmpty();
+      assertThat(w.unfinished()).isEmpty();
+      for (World.User u : w.users.values()) {
+        assertThat(u.begunMs - u.firstSentMs)
+            .as("%s of %s with %d tasks, seed %d", u.uid, u.team, u.tasks, seed)
+            .isLessThan(240_000);
+      }
+    }
+  }
+
   @Test
   void givesTheSameVerdictEveryTime() {
     long[] ends = new long[2];
