--- a/src/main/java/dev/windbend/store/Rate.java
+++ b/src/main/java/dev/windbend/store/Rate.java
@@ -8,25 +8,16 @@
 
   private final Loop loop;
   private final double most;
-  private final double burst;
   private double perS;
   private double tokens;
   private long atMs;
   private long slowedMs = Long.MIN_VALUE / 2;
 
   public Rate(Loop loop, double perS) {
-    this(loop, perS, perS);
-  }
-
-  /**
-   * @param burst what may go at once
-   */
-  public Rate(Loop loop, double perS, double burst) {
     this.loop = loop;
     this.most = perS;
     this.perS = perS;
-    this.burst = burst;
-    this.tokens = burst;
+    this.tokens = perS;
     this.atMs = loop.nowMs();
   }
 
@@ -59,7 +50,7 @@
   }
 
   private double burst() {
-    return Math.max(1, Math.min(burst, perS));
+    return Math.max(1, perS);
   }
 
   private void refill() {
--- a/src/main/java/dev/windbend/store/StoreClient.java
+++ b/src/main/java/dev/windbend/store/StoreClient.java
@@ -58,9 +58,9 @@
     this.address = address;
     this.ops = ops;
     // One node may own most of the work, so each gets more than an even part; 429 slows it down.
-    double share = Math.min(1.0, 1.6 / nodes);
+    double share = Math.min(1.0, 2.5 / nodes);
     this.reads = new Rate(loop, rps * share);
-    this.writes = new Rate(loop, writeRps * share, writeRps / nodes);
+    this.writes = new Rate(loop, writeRps * share);
     this.pauseMs = Math.max(50, (long) (1_000 * 4.0 * nodes / rps));
     this.lastOkMs = loop.nowMs();
   }
