--- a/src/main/java/dev/windbend/part/Loans.java
+++ b/src/main/java/dev/windbend/part/Loans.java
@@ -98,10 +98,22 @@
     }
     spare.removeAll(given);
     fleet.lend(given, to);
-    if (has < 1 && given.size() < count) {
-      promise(to, count - given.size(), has);
+    int coming = given.size();
+    if (has < 1 && coming < count) {
+      promise(to, count - coming, has);
+      // Those promised count as coming. Otherwise every other part would promise as many too, and
+      // the asking one would end up with machines that it has no work for.
+      coming = Math.min(count, coming + promised(to));
     }
-    return given.size();
+    return coming;
+  }
+
+  private int promised(int to) {
+    int n = 0;
+    for (Machine m : fleet.machines()) {
+      n += m.promisedTo == to ? 1 : 0;
+    }
+    return n;
   }
 
   /**
@@ -116,10 +128,7 @@
       // Not all guarantees can be met, so they are met alike: no part is left with nothing.
       above = Math.max(above, (up - has * guaranteedCores) / 2);
     }
-    int left = count;
-    for (Machine m : fleet.machines()) {
-      left -= m.promisedTo == to ? 1 : 0;
-    }
+    int left = count - promised(to);
     List<Machine> busy = new ArrayList<>(fleet.machines());
     busy.sort(Comparator.comparingDouble(this::lostByStopping));
     for (Machine m : busy) {
