Nodes cut off together keep workers only as long as no cancelled job can outlive cancel_s

Cause (read, then shown by a case of 5 nodes): an owner without the state service went on answering as long as it heard any other node. Nodes cut off together hear one another, and kept leases for the whole cut while the rest accepted cancellations. Now bounded by cancel_s less lease_s from the last answer of the state service, or from when every other node vouched that no user knows of a cancellation we lack: so a general outage of 60 s still loses no lease. The stand-in's watches now wait for a node that is not served, as PROTOCOL says; before, they went on and hid this.

--- a/src/main/java/dev/windbend/daemon/Node.java
+++ b/src/main/java/dev/windbend/daemon/Node.java
@@ -49,6 +49,9 @@
   private static final String EVERYTHING = "w/";
   private static final long STALE_MS = 3_000;
 
+  /** For drift of clocks, and for a lease that ends a little late. */
+  private static final long KEEP_SLACK_MS = 1_000;
+
   private final Settings settings;
   private final Policy policy;
   private final Loop loop;
@@ -98,14 +101,31 @@
     this.replica = new Replica(loop, store, EVERYTHING);
     this.layout = new Layout(f.teams().stream().map(Settings.Team::name).toList(), nodes);
     this.claims = new Claims(loop, store, replica, layout, settings.node(), policy.holdMs(), this);
-    this.peers = new Peers(loop, web, store, addresses, (long) (500 * f.workers().leaseS()));
+    JobDoor door = new JobDoor(loop, store, replica, progress, this::judge);
+    this.peers =
+        new Peers(
+            loop,
+            web,
+            store,
+            addresses,
+            (long) (1000 * (f.workers().cancelS() - f.workers().leaseS())) - KEEP_SLACK_MS,
+            new Peers.Cancellations() {
+              @Override
+              public long toldUpTo() {
+                // What a former life of this process told is in the mirror once that is read.
+                return replica.synced()
+                    ? Math.max(door.cancelledAt(), replica.firstRevision())
+                    : Long.MAX_VALUE;
+              }
+
+              @Override
+              public long knownUpTo() {
+                return replica.revision();
+              }
+            });
     this.lending = new Lending(web, layout.parts(), claims::owner, peerAddresses, this::lend);
     Facts facts = facts(settings, size);
-    this.gate =
-        new Gate(
-            loop,
-            JobDoor::submits,
-            new JobDoor(loop, store, replica, progress, this::judge)::handle);
+    this.gate = new Gate(loop, JobDoor::submits, door::handle);
     replica.listen(directory::changed);
     replica.listen(progress::changed);
     replica.listen(this::changed);
--- a/src/main/java/dev/windbend/job/JobDoor.java
+++ b/src/main/java/dev/windbend/job/JobDoor.java
@@ -31,6 +31,7 @@
   private final Lookup lookup;
   private final Progress progress;
   private boolean writing;
+  private long cancelledAt;
 
   /** Says whether a job could ever run; null if that can't be told yet. */
   public interface Fitness {
@@ -59,6 +60,11 @@
     return request.path().equals(JOBS);
   }
 
+  /** The newest revision at which a job was cancelled whose user was told so here. */
+  public long cancelledAt() {
+    return cancelledAt;
+  }
+
   public void handle(Web.Request request, Consumer<Web.Answer> done) {
     String rest = request.path().substring(JOBS.length());
     if (rest.isEmpty()) {
@@ -197,6 +203,7 @@
               outcome -> {
                 if (outcome.done()) {
                   LOG.info("cancelled {}", uid);
+                  cancelledAt = Math.max(cancelledAt, outcome.revision());
                   done.accept(
                       Web.Answer.of(
                           200, new UserMessages.Status(uid, Statuses.CANCELLED, null, null)));
@@ -224,6 +231,9 @@
     if (live == null) {
       return Web.Answer.later(1);
     }
+    if (live.cancelled()) {
+      cancelledAt = Math.max(cancelledAt, found.live().version());
+    }
     Progress.Tasks tasks = progress.of(uid);
     String status =
         live.cancelled()
--- a/src/main/java/dev/windbend/peer/Peers.java
+++ b/src/main/java/dev/windbend/peer/Peers.java
@@ -5,6 +5,7 @@
 import dev.windbend.daemon.io.Loop;
 import dev.windbend.daemon.io.Web;
 import dev.windbend.store.StoreClient;
+import java.util.Arrays;
 import java.util.List;
 
 /**
@@ -17,27 +18,52 @@
   private static final long PAUSE_MS = 1_000;
   private static final long LIMIT_MS = 900;
   private static final long FRESH_MS = 1_500;
+  private static final long NEVER = Long.MIN_VALUE / 2;
 
   private final Loop loop;
   private final Web web;
   private final StoreClient store;
   private final List<String> addresses;
-  private final long aloneMs;
-  private long servedMs = Long.MIN_VALUE / 2;
-  private long heardMs = Long.MIN_VALUE / 2;
+  private final long keepMs;
+  private final Cancellations cancellations;
+  private long othersServedMs = NEVER;
+  private long heardMs = NEVER;
 
-  record View(@JsonProperty("answered_ms_ago") long answeredMsAgo) {}
+  /** When each node was asked last whose answer vouched for what we know. */
+  private final long[] vouchedMs;
+
+  /** Which cancellations users may have been told of. */
+  public interface Cancellations {
+    /** No user was told by this node of one newer than this revision. */
+    long toldUpTo();
+
+    /** This node knows of all up to this revision. */
+    long knownUpTo();
+  }
+
+  record View(
+      @JsonProperty("answered_ms_ago") long answeredMsAgo,
+      @JsonProperty("cancelled_up_to") long cancelledUpTo) {}
 
   /**
-   * @param aloneMs how long a node that reaches neither the state service nor another node may hope
-   *     that it is a general outage
+   * @param keepMs for how long after we were sure of all cancellations workers may be kept by empty
+   *     answers, so that their leases end before the tasks of a cancelled job have to be gone
    */
-  public Peers(Loop loop, Web web, StoreClient store, List<String> addresses, long aloneMs) {
-    this.aloneMs = aloneMs;
+  public Peers(
+      Loop loop,
+      Web web,
+      StoreClient store,
+      List<String> addresses,
+      long keepMs,
+      Cancellations cancellations) {
     this.loop = loop;
     this.web = web;
     this.store = store;
     this.addresses = addresses;
+    this.keepMs = keepMs;
+    this.cancellations = cancellations;
+    this.vouchedMs = new long[addresses.size()];
+    Arrays.fill(vouchedMs, NEVER);
   }
 
   public void start() {
@@ -46,21 +72,23 @@
 
   /** Another node was served a moment ago, while we were not. */
   public boolean othersServed() {
-    return store.failingForMs() > FAILING_MS && loop.nowMs() - servedMs < 2 * PAUSE_MS + FRESH_MS;
+    return store.failingForMs() > FAILING_MS
+        && loop.nowMs() - othersServedMs < 2 * PAUSE_MS + FRESH_MS;
   }
 
   /**
-   * May keep workers by empty answers: as far as can be known, nobody could use them now. With no
-   * word from any node that holds for a while only: the others may be served, and a general outage
-   * leaves the workers the rest of their lease even then.
+   * May keep workers by empty answers though we can't know what others do. Nodes that are cut off
+   * together hear one another and may take it for a general outage, while the rest accept
+   * cancellations. So it is bounded, whoever is heard, from when the state service answered us
+   * last, or from when every other node has told us that its users know of no cancellation that we
+   * don't: then it is a general outage, and all work goes on through it.
    */
   public boolean mayKeepWorkers() {
-    if (othersServed()) {
-      return false;
+    if (addresses.isEmpty()) {
+      return true;
     }
-    return addresses.isEmpty()
-        || store.failingForMs() <= aloneMs
-        || loop.nowMs() - heardMs < 2 * PAUSE_MS + FRESH_MS;
+    long vouched = Arrays.stream(vouchedMs).min().getAsLong();
+    return !othersServed() && loop.nowMs() - Math.max(store.servedMs(), vouched) <= keepMs;
   }
 
   /** Reaches neither the state service nor any other node. */
@@ -71,18 +99,19 @@
   }
 
   public Web.Answer view() {
-    return Web.Answer.of(
-        200, new View(store.failingForMs() > 0 ? loop.nowMs() - store.lastOkMs() : 0));
+    return Web.Answer.of(200, new View(loop.nowMs() - store.servedMs(), cancellations.toldUpTo()));
   }
 
   private void ask() {
     if (store.failingForMs() <= FAILING_MS) {
-      servedMs = Long.MIN_VALUE / 2;
+      othersServedMs = NEVER;
       return;
     }
-    for (String a : addresses) {
+    for (int i = 0; i < addresses.size(); i++) {
+      int node = i;
+      long sentMs = loop.nowMs();
       web.call(
-          a,
+          addresses.get(i),
           "GET",
           PATH,
           null,
@@ -90,12 +119,19 @@
           reply -> {
             View v = reply.ok() ? Json.read(reply.body(), View.class) : null;
             if (v != null) {
-              heardMs = loop.nowMs();
-            }
-            if (v != null && v.answeredMsAgo() < FRESH_MS && store.failingForMs() > FRESH_MS) {
-              servedMs = loop.nowMs();
+              heard(node, sentMs, v);
             }
           });
     }
   }
+
+  private void heard(int node, long sentMs, View v) {
+    heardMs = loop.nowMs();
+    if (v.cancelledUpTo() <= cancellations.knownUpTo()) {
+      vouchedMs[node] = sentMs;
+    }
+    if (v.answeredMsAgo() < FRESH_MS && store.failingForMs() > FRESH_MS) {
+      othersServedMs = loop.nowMs();
+    }
+  }
 }
--- a/src/main/java/dev/windbend/store/Replica.java
+++ b/src/main/java/dev/windbend/store/Replica.java
@@ -21,6 +21,7 @@
   private final TreeMap<String, Stored> keys = new TreeMap<>();
   private final List<Listener> listeners = new ArrayList<>();
   private long revision = -1;
+  private long firstRevision = -1;
   private boolean synced;
 
   /** Told of every change; {@code now} is null if the key is gone. */
@@ -51,6 +52,11 @@
     return revision;
   }
 
+  /** The mirror was first read at this revision. */
+  public long firstRevision() {
+    return firstRevision;
+  }
+
   public Stored get(String key) {
     return keys.get(key);
   }
@@ -84,6 +90,7 @@
             }
           }
           revision = start;
+          firstRevision = synced ? firstRevision : start;
           synced = true;
           LOG.info("mirror read: {} keys at revision {}", keys.size(), start);
           follow();
--- a/src/main/java/dev/windbend/store/StoreClient.java
+++ b/src/main/java/dev/windbend/store/StoreClient.java
@@ -32,7 +32,7 @@
   private boolean pumping;
   private boolean usersTurn = true;
   private long pumpAtMs = Long.MAX_VALUE;
-  private long lastOkMs;
+  private long servedMs = Long.MIN_VALUE / 2;
   private long firstFailMs = -1;
 
   private record Waiting(int writeCost, Runnable send, Runnable refuse) {}
@@ -62,7 +62,6 @@
     this.reads = new Rate(loop, rps * share);
     this.writes = new Rate(loop, writeRps * share);
     this.pauseMs = Math.max(50, (long) (1_000 * 4.0 * nodes / rps));
-    this.lastOkMs = loop.nowMs();
   }
 
   /** Pause between reads of a kind that goes on and on: each kind of all nodes takes a quarter. */
@@ -79,8 +78,9 @@
     return firstFailMs < 0 ? 0 : loop.nowMs() - firstFailMs;
   }
 
-  public long lastOkMs() {
-    return lastOkMs;
+  /** When the newest call that was answered was sent: so long ago we were surely served. */
+  public long servedMs() {
+    return servedMs;
   }
 
   public void get(String key, Consumer<Got> done) {
@@ -242,6 +242,7 @@
       byte[] body,
       long limitMs,
       Consumer<Web.Reply> done) {
+    long sentMs = loop.nowMs();
     web.call(
         address,
         method,
@@ -257,7 +258,7 @@
             firstFailMs = firstFailMs < 0 ? loop.nowMs() : firstFailMs;
           } else {
             firstFailMs = -1;
-            lastOkMs = loop.nowMs();
+            servedMs = Math.max(servedMs, sentMs);
           }
           done.accept(reply);
         });
--- a/src/test/java/dev/windbend/daemon/RulesTest.java
+++ b/src/test/java/dev/windbend/daemon/RulesTest.java
@@ -2,12 +2,14 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 
 /** Whole days in virtual time under each kind of trouble: no rule breaks, and all work ends. */
@@ -92,8 +94,8 @@
         day(
             "one node alone is not served",
             w -> {
-              w.time.at(20_000, () -> w.store.deaf = "n1");
-              w.time.at(60_000, () -> w.store.deaf = "");
+              w.time.at(20_000, () -> w.store.deaf.add("n1"));
+              w.time.at(60_000, () -> w.store.deaf.clear());
             }),
         day(
             "machines hang up to their lease and beyond",
@@ -194,13 +196,13 @@
               w.time.at(
                   25_000,
                   () -> {
-                    w.store.deaf = "n1";
+                    w.store.deaf.add("n1");
                     cutOff(w, "n1", List.of("n0", "n2"));
                   });
               w.time.at(
                   85_000,
                   () -> {
-                    w.store.deaf = "";
+                    w.store.deaf.clear();
                     w.cut.clear();
                   });
             }),
@@ -216,14 +218,14 @@
               w.time.at(
                   25_000,
                   () -> {
-                    w.store.deaf = "n2";
+                    w.store.deaf.add("n2");
                     cutOff(w, "n2", List.of("n0", "n1", "cloud"));
                     cutOff(w, "n2", w.machines.keySet());
                   });
               w.time.at(
                   70_000,
                   () -> {
-                    w.store.deaf = "";
+                    w.store.deaf.clear();
                     w.cut.clear();
                   });
             }),
@@ -291,6 +293,56 @@
     }
   }
 
+  /**
+   * Nodes that are cut off together hear one another, and must not take that for a general outage
+   * for so long that a job cancelled elsewhere goes on; through an outage of all, work goes on.
+   */
+  @ParameterizedTest(name = "{0} of 5 nodes cut off for {1} ms")
+  @CsvSource({"1,10000", "1,100000", "2,10000", "2,100000", "4,100000", "5,25000", "5,60000"})
+  void boundsWhatNodesCutOffTogetherKeep(int cutOff, long forMs) {
+    for (long seed = 1; seed <= 3; seed++) {
+      World w = new World(seed, 5);
+      w.leastRunMs = 150_000;
+      w.cancelsFromMs = 25_000;
+      w.loss = 0;
+      w.late = 0;
+      w.begin(30, 15_000);
+      int[] lapsed = new int[1];
+      w.time.at(
+          24_000,
+          () -> {
+            lapsed[0] = w.lapsed;
+            List<String> here = new ArrayList<>();
+            List<String> there = new ArrayList<>(List.of("users"));
+            w.machines.values().forEach(m -> (m.zone.equals("b") ? here : there).add(m.name));
+            for (int n = 0; n < 5; n++) {
+              (n < cutOff ? here : there).add("n" + n);
+            }
+            if (cutOff < 5) {
+              there.addAll(List.of("cloud", "state"));
+              here.forEach(h -> cutOff(w, h, there));
+              // Else the others would give the machines back, and their tasks would end with them.
+              cutOff(w, "cloud", there);
+            } else {
+              w.store.outage = true;
+            }
+          });
+      w.time.at(
+          24_000 + forMs,
+          () -> {
+            assertThat(cutOff == 5 ? w.lapsed : 0)
+                .as("leases")
+                .isEqualTo(cutOff == 5 ? lapsed[0] : 0);
+            w.store.recover();
+            w.cut.clear();
+          });
+      w.calmFromMs = 24_000 + forMs;
+      w.time.runUntil(2 * DAY_MS);
+      assertThat(w.violations).as("rules, seed %d", seed).isEmpty();
+      assertThat(w.unfinished()).as("unfinished, seed %d", seed).isEmpty();
+    }
+  }
+
   /** Three times more work than machines for it, for minutes: no team, size or class starves. */
   @Test
   void everyJobBeginsWithinFourMinutesWhileCapacityIsShort() {
--- a/src/test/java/dev/windbend/daemon/StandInStore.java
+++ b/src/test/java/dev/windbend/daemon/StandInStore.java
@@ -7,8 +7,10 @@
 import dev.windbend.daemon.io.Web;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 
@@ -30,8 +32,8 @@
   private long forgotten;
   boolean outage;
 
-  /** One node alone gets 503 while this names it. */
-  String deaf = "";
+  /** These nodes alone get 503. */
+  final Set<String> deaf = new HashSet<>();
 
   /** Changes of keys that start so are refused; none if empty. */
   String holdWrites = "";
@@ -69,10 +71,10 @@
 
   void handle(String from, String method, String path, byte[] body, Consumer<Web.Reply> done) {
     if (path.startsWith("/follow")) {
-      follow(path, done);
+      follow(from, path, done);
       return;
     }
-    if (outage || from.equals(deaf)) {
+    if (unserved(from)) {
       done.accept(new Web.Reply(503, "{}".getBytes()));
       return;
     }
@@ -83,6 +85,10 @@
     }
   }
 
+  private boolean unserved(String node) {
+    return outage || deaf.contains(node);
+  }
+
   private Web.Reply answer(String method, String path, byte[] body) throws java.io.IOException {
     if (path.startsWith("/keys?")) {
       String prefix = query(path, "prefix");
@@ -194,13 +200,13 @@
         });
   }
 
-  private void follow(String path, Consumer<Web.Reply> done) {
+  private void follow(String node, String path, Consumer<Web.Reply> done) {
     long from = Long.parseLong(query(path, "from"));
     String prefix = query(path, "prefix");
     boolean[] answered = {false};
     Runnable look =
         () -> {
-          if (answered[0] || outage) {
+          if (answered[0] || unserved(node)) {
             return;
           }
           if (from < forgotten) {
@@ -229,17 +235,18 @@
         };
     watchers.add(look);
     look.run();
-    timeOut(look, answered, Long.parseLong(query(path, "block_ms")), done);
+    timeOut(node, look, answered, Long.parseLong(query(path, "block_ms")), done);
   }
 
   /** Open watches remain open through an outage. */
-  private void timeOut(Runnable look, boolean[] answered, long ms, Consumer<Web.Reply> done) {
+  private void timeOut(
+      String node, Runnable look, boolean[] answered, long ms, Consumer<Web.Reply> done) {
     time.at(
         ms,
         () -> {
           look.run();
-          if (outage && !answered[0]) {
-            timeOut(look, answered, 500, done);
+          if (unserved(node) && !answered[0]) {
+            timeOut(node, look, answered, 500, done);
             return;
           }
           watchers.remove(look);
--- a/src/test/java/dev/windbend/daemon/StandInWorker.java
+++ b/src/test/java/dev/windbend/daemon/StandInWorker.java
@@ -47,7 +47,7 @@
     this.name = name;
     this.zone = zone;
     this.spot = spot;
-    this.node = world.random.nextInt(3);
+    this.node = world.random.nextInt(world.size);
   }
 
   void start() {
@@ -67,6 +67,7 @@
       return;
     }
     if (!hung && world.time.nowMs() - leaseFromMs > World.LEASE_MS) {
+      world.lapsed += tasks.isEmpty() ? 0 : 1;
       tasks.values().forEach(this::leave);
       tasks.clear();
       shift++;
@@ -141,7 +142,7 @@
             node = world.json(reply.body()).get("dispatcher").asText().charAt(1) - '0';
             next(300);
           } else {
-            node = (node + 1) % 3;
+            node = (node + 1) % world.size;
             next(1_000);
           }
         });
@@ -151,7 +152,7 @@
           if (!over[0] && mine == asked) {
             over[0] = true;
             inFlight = false;
-            node = (node + 1) % 3;
+            node = (node + 1) % world.size;
             next(1_000);
           }
         });
--- a/src/test/java/dev/windbend/daemon/World.java
+++ b/src/test/java/dev/windbend/daemon/World.java
@@ -14,7 +14,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 
-/** Three nodes, stand-ins for all they talk to, users, and the rules, all in virtual time. */
+/** Some nodes, stand-ins for all they talk to, users, and the rules, all in virtual time. */
 final class World {
   static final long LEASE_MS = 14_000;
   static final long REPORT_MS = 1_500;
@@ -28,8 +28,9 @@
   final Map<String, StandInWorker> machines = new LinkedHashMap<>();
   final List<String> violations = new ArrayList<>();
   final Map<String, User> users = new LinkedHashMap<>();
-  private final Node[] nodes = new Node[3];
-  private final VirtualTime.ProcessLoop[] loops = new VirtualTime.ProcessLoop[3];
+  final int size;
+  private final Node[] nodes;
+  private final VirtualTime.ProcessLoop[] loops;
   private final Map<String, List<String>> hires = new HashMap<>();
   private final Set<String> listed = new HashSet<>();
   private final Map<String, Set<StandInWorker>> on = new HashMap<>();
@@ -47,6 +48,15 @@
 
   long copyMs = 45_000;
 
+  /** Every task runs for so much longer than the least. */
+  long leastRunMs;
+
+  /** Nobody cancels a job before this time. */
+  long cancelsFromMs;
+
+  /** Machines whose lease ended with tasks on them. */
+  int lapsed;
+
   /** Pairs "a>b" that can't talk: sends hang. */
   final Set<String> cut = new HashSet<>();
 
@@ -54,13 +64,21 @@
   final Set<String> refused = new HashSet<>();
 
   /** How much later each of a node's events happens. */
-  final long[] slowMs = new long[3];
+  final long[] slowMs;
 
   /** From then on every question must be answered within 75 s. */
   long calmFromMs = Long.MAX_VALUE;
 
   World(long seed) {
+    this(seed, 3);
+  }
+
+  World(long seed, int size) {
     this.random = new Random(seed);
+    this.size = size;
+    this.nodes = new Node[size];
+    this.loops = new VirtualTime.ProcessLoop[size];
+    this.slowMs = new long[size];
   }
 
   // ---- nodes
@@ -92,16 +110,17 @@
     time.at(backMs, () -> startNode(i));
   }
 
-  private static String settings(int i) {
+  private String settings(int i) {
     StringBuilder s = new StringBuilder();
     s.append("host_name = \"n%d\"\ndomain = \"a\"\n".formatted(i));
     s.append("client_listen = \"n%1$d:80\"\npeer_bind = \"n%1$d:81\"\n".formatted(i));
-    for (int p = 0; p < 3; p++) {
+    for (int p = 0; p < size; p++) {
       if (p != i) {
         s.append("[[seeds]]\nhost_name = \"n%1$d\"\naddr = \"n%1$d:81\"\n".formatted(p));
       }
     }
-    s.append("[services]\ncloud = \"cloud:1\"\nstate = \"state:1\"\n[facts]\nsize = 3\n");
+    s.append("[services]\ncloud = \"cloud:1\"\nstate = \"state:1\"\n[facts]\n");
+    s.append("size = %d\n".formatted(size));
     s.append("zones = [\"a\", \"b\"]\n");
     for (String team : List.of("red", "blue", "green")) {
       s.append(
@@ -352,7 +371,7 @@
   }
 
   long runMs(String drop) {
-    return 2_000 + Math.floorMod(drop.hashCode(), 9_000);
+    return leastRunMs + 2_000 + Math.floorMod(drop.hashCode(), 9_000);
   }
 
   // ---- users
@@ -403,7 +422,9 @@
               hear(r);
               time.at(5_000, this::poll);
               if (cancels) {
-                time.at(random.nextInt(20_000), this::cancel);
+                time.at(
+                    Math.max(0, cancelsFromMs - time.nowMs()) + random.nextInt(20_000),
+                    this::cancel);
               }
             } else if (r.status() == 400 || r.status() == 422) {
               broken("forgotten: " + uid + " was refused with " + r.status());
@@ -473,7 +494,7 @@
 
     private void ask(
         String method, String path, byte[] body, long limitMs, Consumer<Web.Reply> done) {
-      call("users", "n" + random.nextInt(3) + ":80", method, path, body, limitMs, done);
+      call("users", "n" + random.nextInt(size) + ":80", method, path, body, limitMs, done);
     }
   }
 
@@ -481,7 +502,7 @@
   void askForNothing() {
     call(
         "users",
-        "n" + random.nextInt(3) + ":80",
+        "n" + random.nextInt(size) + ":80",
         "GET",
         "/v1/jobs/wk-999999",
         null,
@@ -495,7 +516,7 @@
   }
 
   void begin(int jobs, long spanMs) {
-    for (int i = 0; i < 3; i++) {
+    for (int i = 0; i < size; i++) {
       startNode(i);
     }
     for (int n = 0; n < jobs; n++) {
