Parts leave unreached nodes, refused kinds are asked by one batch, late returns are not sent

While a kind was refused last, one batch asks for it each 8 to 16 s. (3) A return queued behind the cloud's rate, or a call in a process that stood still, was sent whatever had become of the hold.

--- a/src/main/java/dev/windbend/daemon/Node.java
+++ b/src/main/java/dev/windbend/daemon/Node.java
@@ -325,6 +325,7 @@
       done.accept(Web.Answer.bare(400));
       return;
     }
+    claims.heardWorker();
     int part = directory.partOf(r.machine());
     for (Owner o : owners.values()) {
       if (o.ready() && o.has(r.machine())) {
--- a/src/main/java/dev/windbend/daemon/UndertowWeb.java
+++ b/src/main/java/dev/windbend/daemon/UndertowWeb.java
@@ -48,6 +48,7 @@
   public void call(
       String address, String method, String path, byte[] body, long limitMs, Consumer<Reply> done) {
     Call call = new Call(targets.computeIfAbsent(address, Target::new), method, path, body, done);
+    call.untilMs = loop.nowMs() + limitMs;
     call.timer = loop.after(limitMs, call::timedOut);
     call.target.submit(call);
   }
@@ -136,6 +137,7 @@
     private final Consumer<Reply> done;
     private final ByteArrayOutputStream received = new ByteArrayOutputStream(256);
     private Loop.Timer timer;
+    private long untilMs;
     private ClientConnection connection;
     private boolean connecting;
     private boolean finished;
@@ -188,6 +190,11 @@
 
     void send(ClientConnection c) {
       connection = c;
+      if (loop.nowMs() >= untilMs) {
+        // This process stood still: what it meant to say then may be wrong by now.
+        timedOut();
+        return;
+      }
       ClientRequest request = new ClientRequest().setMethod(new HttpString(method)).setPath(path);
       request.getRequestHeaders().put(Headers.HOST, target.address);
       if (body != null) {
--- a/src/main/java/dev/windbend/machine/CloudClient.java
+++ b/src/main/java/dev/windbend/machine/CloudClient.java
@@ -7,6 +7,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /** Calls the cloud, each with a time-out, under this node's part of its rate limit. */
@@ -72,12 +73,17 @@
         });
   }
 
-  /** At most 100 names. True: they and all that was on them are gone. */
-  void giveBack(List<String> machines, Consumer<Boolean> done) {
+  /**
+   * At most 100 names. True: they and all that was on them are gone. The cloud knows no fence, so
+   * whether they may still be given back is asked again at the moment of sending: this process may
+   * have stood still meanwhile, and another may use them.
+   */
+  void giveBack(List<String> machines, BooleanSupplier still, Consumer<Boolean> done) {
     call(
         "POST",
         "/hosts/return",
         Json.write(new CloudMessages.Machines(machines)),
+        still,
         reply -> done.accept(reply.ok()));
   }
 
@@ -109,20 +115,30 @@
   }
 
   private void call(String method, String path, byte[] body, Consumer<Web.Reply> done) {
+    call(method, path, body, () -> true, done);
+  }
+
+  private void call(
+      String method, String path, byte[] body, BooleanSupplier still, Consumer<Web.Reply> done) {
     queue.add(
-        () ->
-            web.call(
-                address,
-                method,
-                path,
-                body,
-                LIMIT_MS,
-                reply -> {
-                  if (reply.status() == 429) {
-                    rate.slowDown();
-                  }
-                  done.accept(reply);
-                }));
+        () -> {
+          if (!still.getAsBoolean()) {
+            done.accept(Web.Reply.NONE);
+            return;
+          }
+          web.call(
+              address,
+              method,
+              path,
+              body,
+              LIMIT_MS,
+              reply -> {
+                if (reply.status() == 429) {
+                  rate.slowDown();
+                }
+                done.accept(reply);
+              });
+        });
     pump();
   }
 
--- a/src/main/java/dev/windbend/machine/Fleet.java
+++ b/src/main/java/dev/windbend/machine/Fleet.java
@@ -2,6 +2,7 @@
 
 import dev.windbend.daemon.io.Loop;
 import dev.windbend.store.Unit;
+import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import it.unimi.dsi.fastutil.objects.Object2LongOpenHashMap;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -26,6 +27,7 @@
   private static final int RETURN_BATCH = 100;
   private static final int HIRE_BATCH = 50;
   private static final long REFUSED_MS = 8_000;
+  private static final int REFUSED_DOUBLINGS = 1;
   private static final long AGAIN_MS = 1_500;
 
   private final Loop loop;
@@ -38,6 +40,10 @@
   private final Map<String, Machine> machines = new LinkedHashMap<>();
   private final Set<Machine> leaving = new LinkedHashSet<>();
   private final Object2LongOpenHashMap<String> refusedUntil = new Object2LongOpenHashMap<>();
+
+  /** Refusals of a kind since it was last had in full. */
+  private final Object2IntOpenHashMap<String> refusals = new Object2IntOpenHashMap<>();
+
   private final Map<String, Long> unknownSince = new HashMap<>();
 
   /** Fences of machines that left, so that old news does not bring them back. */
@@ -160,8 +166,14 @@
 
   public record Pending(MachineType type, int zone, boolean spot, int count, long sinceMs) {}
 
+  /**
+   * Each batch takes two changes in the state service, also one that is refused. So while the cloud
+   * had none of a kind last, one batch asks for it, now and then: a part that asked for all it
+   * lacked again and again would use up the changes that submissions and starts need.
+   */
   public void rent(MachineType type, int zone, boolean spot, int count) {
-    for (int left = count; left > 0; left -= HIRE_BATCH) {
+    boolean scarce = refusals.getInt(kind(type.index(), zone, spot)) > 0;
+    for (int left = scarce ? Math.min(count, HIRE_BATCH) : count; left > 0; left -= HIRE_BATCH) {
       // The token is never used again, so neither is the name.
       String name = "p" + part + "-" + token + "-" + ++sequence;
       Hire h =
@@ -265,6 +277,7 @@
       givingBack = true;
       cloud.giveBack(
           batch.stream().map(m -> m.name).toList(),
+          () -> !closed && host.mayAct(),
           ok -> {
             if (closed) {
               return;
@@ -314,6 +327,8 @@
               host.touch(h);
               if (names.size() < h.asked.count()) {
                 refuse(h);
+              } else {
+                refusals.removeInt(kind(h));
               }
               afterWrite();
               host.fleetChanged();
@@ -337,7 +352,14 @@
   }
 
   private void refuse(Hire h) {
-    refusedUntil.put(kind(h.type.index(), h.zone, h.asked.spot()), loop.nowMs() + REFUSED_MS);
+    if (!refused(h.type.index(), h.zone, h.asked.spot())) {
+      int doublings = Math.min(REFUSED_DOUBLINGS, refusals.addTo(kind(h), 1));
+      refusedUntil.put(kind(h), loop.nowMs() + (REFUSED_MS << doublings));
+    }
+  }
+
+  private static String kind(Hire h) {
+    return kind(h.type.index(), h.zone, h.asked.spot());
   }
 
   private void drop(Hire h) {
--- a/src/main/java/dev/windbend/machine/Watch.java
+++ b/src/main/java/dev/windbend/machine/Watch.java
@@ -26,6 +26,8 @@
   /** Promised machines go together: each handing over is a change in the state service. */
   private static final long LEND_GAP_MS = 2_000;
 
+  private static final int FEW = 3;
+
   /** One lost answer alone says nothing. */
   private static final int UNHEARD = 2;
 
@@ -113,6 +115,22 @@
     }
   }
 
+  /**
+   * Of all machines that were heard before, none has been heard for longer than a lost answer and
+   * an interval explain: what is cut off is this node. A few may go at once by chance.
+   */
+  public boolean lostWorkers(long now, long sureSinceMs) {
+    int seen = 0;
+    long newestMs = sureSinceMs;
+    for (Machine m : fleet.machines()) {
+      if (m.seenMs >= 0) {
+        seen++;
+        newestMs = Math.max(newestMs, m.seenMs);
+      }
+    }
+    return seen >= FEW && now - newestMs > Math.max(2 * reportMs, LOST_ANSWER_MS);
+  }
+
   private void neverSeen(Machine m, long now, long sureSinceMs) {
     // Inherited ones count from the takeover, so they get their time to find us.
     long patience = (long) Math.max(SHORTEST_CHARGE_MS, 1000 * BOOT_PATIENCE * m.type.bootS());
--- a/src/main/java/dev/windbend/part/Claims.java
+++ b/src/main/java/dev/windbend/part/Claims.java
@@ -40,6 +40,7 @@
   private long hold = -1;
   private boolean holding;
   private long validUntilMs;
+  private long leftUntilMs = Long.MIN_VALUE;
 
   /** Told when this node gains or loses a part. */
   public interface Listener {
@@ -164,6 +165,30 @@
     }
   }
 
+  /**
+   * Our workers do not reach us, though the state service does: another node may be reached, so it
+   * gets the part. We claim none until a worker is heard again, or for so long.
+   */
+  public void leaveToOthers(int part, long forMs) {
+    long token = tokens[part];
+    if (token > 0 && layout.nodes() > 1) {
+      LOG.warn("part {} is left to others: no worker reaches us", part);
+      leftUntilMs = loop.nowMs() + forMs;
+      lose(part);
+      release(part, token);
+    }
+  }
+
+  public void heardWorker() {
+    leftUntilMs = Long.MIN_VALUE;
+  }
+
+  private void release(int part, long version) {
+    claiming[part] = true;
+    store.commit(
+        new Draft().when(key(part), version).delete(key(part)), outcome -> claiming[part] = false);
+  }
+
   private void step() {
     if (replica.synced()) {
       for (int p = 0; p < tokens.length; p++) {
@@ -185,6 +210,13 @@
     if (claiming[part] || hold < 0 || !surelyHeld()) {
       return;
     }
+    if (loop.nowMs() < leftUntilMs) {
+      freeSince[part] = -1;
+      if (s != null && me.equals(owner(part))) {
+        release(part, s.version());
+      }
+      return;
+    }
     if (s != null) {
       freeSince[part] = -1;
       if (me.equals(owner(part))) {
--- a/src/main/java/dev/windbend/part/Layout.java
+++ b/src/main/java/dev/windbend/part/Layout.java
@@ -19,6 +19,10 @@
     return parts;
   }
 
+  public int nodes() {
+    return nodes.size();
+  }
+
   /** -1: no such team. */
   public int team(String name) {
     return teams.find(name);
--- a/src/main/java/dev/windbend/part/Owner.java
+++ b/src/main/java/dev/windbend/part/Owner.java
@@ -431,6 +431,9 @@
       if (sureSinceMs < 0) {
         sureSinceMs = now;
       }
+      if (watch.lostWorkers(now, sureSinceMs)) {
+        claims.leaveToOthers(part, (long) (1_000 * facts.leaseS()));
+      }
       watch.look(now, sureSinceMs);
       for (Job job : board.all()) {
         if (job.cancelled && job.over()) {
--- a/src/test/java/dev/windbend/daemon/RulesTest.java
+++ b/src/test/java/dev/windbend/daemon/RulesTest.java
@@ -343,6 +343,30 @@
     }
   }
 
+  /** A node that its workers can't reach leaves its part to one they can, before leases end. */
+  @Test
+  void leavesItsPartToANodeThatTheWorkersReach() {
+    for (long seed = 1; seed <= 3; seed++) {
+      World w = new World(seed, 5);
+      w.loss = 0;
+      w.late = 0;
+      w.leastRunMs = 60_000;
+      w.begin(30, 15_000);
+      w.time.runUntil(30_000);
+      int lapsed = w.lapsed;
+      for (int n = 0; n < 300; n++) {
+        w.cut.add("host-%06d>n1".formatted(n));
+        w.cut.add("n1>host-%06d".formatted(n));
+      }
+      w.time.runUntil(75_000);
+      assertThat(w.lapsed).as("leases, seed %d", seed).isEqualTo(lapsed);
+      w.cut.clear();
+      w.time.runUntil(DAY_MS);
+      assertThat(w.violations).as("rules, seed %d", seed).isEmpty();
+      assertThat(w.unfinished()).as("unfinished, seed %d", seed).isEmpty();
+    }
+  }
+
   /** Three times more work than machines for it, for minutes: no team, size or class starves. */
   @Test
   void everyJobBeginsWithinFourMinutesWhileCapacityIsShort() {
