Try: urgent work stops others where it is heard soonest, and waits only while in time

Cause: on kauri-fleet a report comes every 6 s and the time to start is 5 s. Room was made wherever least was lost, which hears of it 3 s later on average, and room free within 12 s was waited for.

--- a/src/main/java/dev/windbend/plan/Planner.java
+++ b/src/main/java/dev/windbend/plan/Planner.java
@@ -208,7 +208,10 @@
     int keep = a.left - Math.min(Math.min(a.left, most), underLimit(a.w));
     useIdle(a, keep);
     if (a.left > keep && a.w.rank() < lowestRank) {
-      soonFree(a, keep, s.nowMs() + s.patienceMs(), false);
+      // What is free after the time to start by is no help while that can still be kept.
+      boolean early = s.nowMs() < a.w.startByMs();
+      long patient = s.nowMs() + s.patienceMs();
+      soonFree(a, keep, early ? Math.min(patient, a.w.startByMs()) : patient, false);
       makeRoom(a, keep);
     }
     if (a.left <= keep) {
@@ -378,7 +381,8 @@
     may.sort(
         Comparator.comparingDouble(i -> running.get(i).lostMs() * running.get(i).size().cores()));
     Size free = l.least(w.estimateMs());
-    double lost = fetchMs(w, l) * w.size().cores();
+    // Stops and starts travel in answers, so a machine that reports soon loses least.
+    double lost = (fetchMs(w, l) + l.room.hearsMs()) * w.size().cores();
     List<Integer> victims = new ArrayList<>();
     for (int i : may) {
       if (free.holds(w.size())) {
--- a/src/test/java/dev/windbend/plan/PlannerTest.java
+++ b/src/test/java/dev/windbend/plan/PlannerTest.java
@@ -33,6 +33,7 @@
   private double used = 0;
   private boolean oldestFirst;
   private double reserve = 1_000;
+  private long hearsMs;
 
   private Wanted plan() {
     return Planner.plan(
@@ -122,7 +123,7 @@
             zone,
             spot,
             true,
-            0,
+            hearsMs,
             new Size(free, 0, 32),
             0,
             running.length == 0 && free == 8,
@@ -223,6 +224,32 @@
     assertThat(plan().stops()).isEmpty();
   }
 
+  /** What it would lose there is the same; only one reports at once. */
+  @Test
+  void stopsLowerWorkWhereItIsHeardSoonest() {
+    work(1, 8, 1, 20, 60);
+    hearsMs = 4_000;
+    room(0, true, 0, running(8, 90, 2, 5));
+    hearsMs = 100;
+    room(0, true, 0, running(8, 90, 2, 5));
+    assertThat(plan().stops()).containsExactly(new Wanted.Stop(1, 0));
+  }
+
+  @ParameterizedTest(name = "free in {0} s, to start within {1} s: {2} stopped")
+  @CsvSource({"2,3,0", "2,1,1", "2,-5,0", "5,-5,1"})
+  void waitsForRoomOnlyWhileTheTimeToStartByIsKept(long freeInS, long startInS, int stopped) {
+    work(
+        d -> {
+          d.rank = 1;
+          d.size = WHOLE;
+          d.estimateMs = 20_000;
+          d.dueMs = NOW + 60_000;
+          d.startByMs = NOW + 1_000 * startInS;
+        });
+    room(0, true, 0, running(8, freeInS, 2, 5));
+    assertThat(plan().stops()).hasSize(stopped);
+  }
+
   @Test
   void placesOnlyWhereTheJobAllows() {
     work(d -> d.zone = 1);
