Try: a free core weighs 100 ms against a machine, so that fuller ones fill up first

The score gave 10 ms a free core against seconds of fetch and of hearing, so work was spread over whatever listened. Expected: useful and price better, starts a little later.

--- a/src/main/java/dev/windbend/plan/Planner.java
+++ b/src/main/java/dev/windbend/plan/Planner.java
@@ -30,6 +30,9 @@
   /** Room at twice the cheapest price is taken only where it saves so much time. */
   private static final double DEAR_MS = 3_000;
 
+  /** Each core that a machine has free speaks as much against it: others run empty and go back. */
+  private static final double LOOSE_MS = 100;
+
   /** What is to be free soon may be late by so much. */
   private static final double EARLY_MS = 1_000;
 
@@ -303,7 +306,7 @@
 
   private double score(Line l, double delayMs) {
     double dear = cheapest > 0 ? l.room.pricePerH() / cheapest - 1 : 0;
-    return l.now.cores() + (delayMs + DEAR_MS * dear) / 10.0;
+    return l.now.cores() * LOOSE_MS + delayMs + DEAR_MS * dear;
   }
 
   /** Running past the paid block extends it. That must not cost more than a new machine would. */
