--- a/src/main/java/dev/windbend/machine/Fleet.java
+++ b/src/main/java/dev/windbend/machine/Fleet.java
@@ -2,7 +2,6 @@
 
 import dev.windbend.daemon.io.Loop;
 import dev.windbend.store.Unit;
-import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import it.unimi.dsi.fastutil.objects.Object2LongOpenHashMap;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -27,7 +26,6 @@
   private static final int RETURN_BATCH = 100;
   private static final int HIRE_BATCH = 50;
   private static final long REFUSED_MS = 8_000;
-  private static final int REFUSED_DOUBLINGS = 1;
   private static final long AGAIN_MS = 1_500;
 
   private final Loop loop;
@@ -41,8 +39,8 @@
   private final Set<Machine> leaving = new LinkedHashSet<>();
   private final Object2LongOpenHashMap<String> refusedUntil = new Object2LongOpenHashMap<>();
 
-  /** Refusals of a kind since it was last had in full. */
-  private final Object2IntOpenHashMap<String> refusals = new Object2IntOpenHashMap<>();
+  /** Kinds that were refused, and not had in full since. */
+  private final Set<String> scarce = new HashSet<>();
 
   private final Map<String, Long> unknownSince = new HashMap<>();
 
@@ -172,8 +170,8 @@
    * lacked again and again would use up the changes that submissions and starts need.
    */
   public void rent(MachineType type, int zone, boolean spot, int count) {
-    boolean scarce = refusals.getInt(kind(type.index(), zone, spot)) > 0;
-    for (int left = scarce ? Math.min(count, HIRE_BATCH) : count; left > 0; left -= HIRE_BATCH) {
+    boolean probe = scarce.contains(kind(type.index(), zone, spot));
+    for (int left = probe ? Math.min(count, HIRE_BATCH) : count; left > 0; left -= HIRE_BATCH) {
       // The token is never used again, so neither is the name.
       String name = "p" + part + "-" + token + "-" + ++sequence;
       Hire h =
@@ -328,7 +326,7 @@
               if (names.size() < h.asked.count()) {
                 refuse(h);
               } else {
-                refusals.removeInt(kind(h));
+                scarce.remove(kind(h));
               }
               afterWrite();
               host.fleetChanged();
@@ -352,10 +350,8 @@
   }
 
   private void refuse(Hire h) {
-    if (!refused(h.type.index(), h.zone, h.asked.spot())) {
-      int doublings = Math.min(REFUSED_DOUBLINGS, refusals.addTo(kind(h), 1));
-      refusedUntil.put(kind(h), loop.nowMs() + (REFUSED_MS << doublings));
-    }
+    scarce.add(kind(h));
+    refusedUntil.put(kind(h), loop.nowMs() + REFUSED_MS);
   }
 
   private static String kind(Hire h) {
