--- a/src/main/java/dev/windbend/daemon/Node.java
+++ b/src/main/java/dev/windbend/daemon/Node.java
@@ -100,7 +100,9 @@
     this.catalog = new Catalog(loop, cloud, f.zones());
     this.replica = new Replica(loop, store, EVERYTHING);
     this.layout = new Layout(f.teams().stream().map(Settings.Team::name).toList(), nodes);
-    this.claims = new Claims(loop, store, replica, layout, settings.node(), policy.holdMs(), this);
+    long leaseMs = (long) (1000 * f.workers().leaseS());
+    this.claims =
+        new Claims(loop, store, replica, layout, settings.node(), policy.holdMs(), leaseMs, this);
     JobDoor door = new JobDoor(loop, store, replica, progress, this::judge);
     this.peers =
         new Peers(
@@ -108,7 +110,7 @@
             web,
             store,
             addresses,
-            (long) (1000 * (f.workers().cancelS() - f.workers().leaseS())) - KEEP_SLACK_MS,
+            (long) (1000 * f.workers().cancelS()) - leaseMs - KEEP_SLACK_MS,
             new Peers.Cancellations() {
               @Override
               public long toldUpTo() {
--- a/src/main/java/dev/windbend/machine/Watch.java
+++ b/src/main/java/dev/windbend/machine/Watch.java
@@ -116,19 +116,14 @@
   }
 
   /**
-   * Of all machines that were heard before, none has been heard for longer than a lost answer and
-   * an interval explain: what is cut off is this node. A few may go at once by chance.
+   * Machines were heard before, and for longer than a lost answer and an interval explain this node
+   * has heard none at all: what is cut off is the node. A few may go at once by chance.
+   *
+   * @param heardMs when any worker was heard last, of this part or another
    */
-  public boolean lostWorkers(long now, long sureSinceMs) {
-    int seen = 0;
-    long newestMs = sureSinceMs;
-    for (Machine m : fleet.machines()) {
-      if (m.seenMs >= 0) {
-        seen++;
-        newestMs = Math.max(newestMs, m.seenMs);
-      }
-    }
-    return seen >= FEW && now - newestMs > Math.max(2 * reportMs, LOST_ANSWER_MS);
+  public boolean lostWorkers(long now, long heardMs) {
+    long seen = fleet.machines().stream().filter(m -> m.seenMs >= 0).count();
+    return seen >= FEW && now - heardMs > Math.max(2 * reportMs, LOST_ANSWER_MS);
   }
 
   private void neverSeen(Machine m, long now, long sureSinceMs) {
--- a/src/main/java/dev/windbend/part/Claims.java
+++ b/src/main/java/dev/windbend/part/Claims.java
@@ -33,6 +33,7 @@
   private final Layout layout;
   private final String me;
   private final long lifeMs;
+  private final long leaseMs;
   private final Listener listener;
   private final long[] tokens;
   private final long[] freeSince;
@@ -40,7 +41,8 @@
   private long hold = -1;
   private boolean holding;
   private long validUntilMs;
-  private long leftUntilMs = Long.MIN_VALUE;
+  private long heardMs = Long.MIN_VALUE / 2;
+  private long leftMs = Long.MIN_VALUE / 2;
 
   /** Told when this node gains or loses a part. */
   public interface Listener {
@@ -58,6 +60,7 @@
       Layout layout,
       String me,
       long lifeMs,
+      long leaseMs,
       Listener listener) {
     this.loop = loop;
     this.store = store;
@@ -65,6 +68,7 @@
     this.layout = layout;
     this.me = me;
     this.lifeMs = lifeMs;
+    this.leaseMs = leaseMs;
     this.listener = listener;
     this.tokens = new long[layout.parts()];
     this.freeSince = new long[layout.parts()];
@@ -167,20 +171,25 @@
 
   /**
    * Our workers do not reach us, though the state service does: another node may be reached, so it
-   * gets the part. We claim none until a worker is heard again, or for so long.
+   * gets the part. We claim none until a worker is heard again, or for a lease.
    */
-  public void leaveToOthers(int part, long forMs) {
+  public void leaveToOthers(int part) {
     long token = tokens[part];
     if (token > 0 && layout.nodes() > 1) {
       LOG.warn("part {} is left to others: no worker reaches us", part);
-      leftUntilMs = loop.nowMs() + forMs;
+      leftMs = loop.nowMs();
       lose(part);
       release(part, token);
     }
   }
 
+  /** When any worker reached this node last. */
+  public long heardMs() {
+    return heardMs;
+  }
+
   public void heardWorker() {
-    leftUntilMs = Long.MIN_VALUE;
+    heardMs = loop.nowMs();
   }
 
   private void release(int part, long version) {
@@ -210,7 +219,7 @@
     if (claiming[part] || hold < 0 || !surelyHeld()) {
       return;
     }
-    if (loop.nowMs() < leftUntilMs) {
+    if (loop.nowMs() - leftMs < leaseMs && heardMs <= leftMs) {
       freeSince[part] = -1;
       if (s != null && me.equals(owner(part))) {
         release(part, s.version());
--- a/src/main/java/dev/windbend/part/Owner.java
+++ b/src/main/java/dev/windbend/part/Owner.java
@@ -431,8 +431,8 @@
       if (sureSinceMs < 0) {
         sureSinceMs = now;
       }
-      if (watch.lostWorkers(now, sureSinceMs)) {
-        claims.leaveToOthers(part, (long) (1_000 * facts.leaseS()));
+      if (watch.lostWorkers(now, Math.max(sureSinceMs, claims.heardMs()))) {
+        claims.leaveToOthers(part);
       }
       watch.look(now, sureSinceMs);
       for (Job job : board.all()) {
--- a/src/main/java/dev/windbend/worker/Reports.java
+++ b/src/main/java/dev/windbend/worker/Reports.java
@@ -92,6 +92,7 @@
       return;
     }
     release(m);
+    m.listening = false;
     listen(m, r, fence, now);
     m.shift = r.shift();
     m.tally = r.tally();
