--- a/src/main/java/dev/windbend/part/Facts.java
+++ b/src/main/java/dev/windbend/part/Facts.java
@@ -1,7 +1,9 @@
 package dev.windbend.part;
 
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.DoubleStream;
 
 /** What the settings file says about teams, workers and the cloud, for owners. */
 public record Facts(
@@ -33,15 +35,17 @@
       Map<String, Double> waitS,
       double guaranteeS) {
     private static final double[] ONCE = {1};
+    private static final double[] NONE = {};
 
     /** Time limits from submission, ascending. */
     double[] limits(String kind, Double dueS, double impliedS, boolean fromAims) {
+      double[] within = fromAims ? withinS.getOrDefault(kind, NONE) : NONE;
       if (dueS != null) {
         double[] times = fromAims ? dueTimes.getOrDefault(kind, ONCE) : ONCE;
-        return java.util.Arrays.stream(times).map(t -> t * dueS).toArray();
+        DoubleStream due = Arrays.stream(times).map(t -> t * dueS);
+        return DoubleStream.concat(due, Arrays.stream(within)).sorted().toArray();
       }
-      double[] within = fromAims ? withinS.get(kind) : null;
-      return within == null ? new double[] {impliedS} : within;
+      return within.length == 0 ? new double[] {impliedS} : within;
     }
   }
 }
