--- a/src/main/java/dev/windbend/daemon/Node.java
+++ b/src/main/java/dev/windbend/daemon/Node.java
@@ -155,7 +155,7 @@
       if ("guarantee".equals(o.kind()) && o.withinS() != null) {
         guaranteeS = o.withinS();
       } else if (o.jobKind() != null && "wait".equals(o.kind()) && o.withinS() != null) {
-        wait.merge(o.jobKind(), o.withinS(), Math::min);
+        wait.merge(o.jobKind(), o.withinS(), Math::max);
       }
       if (o.jobKind() != null && "finished".equals(o.kind()) && o.withinS() != null) {
         within.merge(o.jobKind(), new double[] {o.withinS()}, Node::sorted);
