--- /dev/null
+++ b/src/test/java/dev/windbend/part/FactsTest.java
@@ -0,0 +1,39 @@
+package dev.windbend.part;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Arrays;
+import java.util.Map;
+import java.util.stream.Collectors;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** When jobs of a class are due, from what is asked of it. */
+class FactsTest {
+  private static final Facts.Aims AIMS =
+      new Facts.Aims(
+          Map.of("both", new double[] {1, 1.5}, "times", new double[] {1, 1.5}),
+          Map.of("both", new double[] {250}, "within", new double[] {150, 250}),
+          Map.of(),
+          0);
+
+  /** A job past its deadline is not hopeless while its class has another limit to be met. */
+  @ParameterizedTest(name = "class {0} with a deadline of {1} s: {3}")
+  @CsvSource({
+    "both,100,true,100 150 250",
+    "both,200,true,200 250 300",
+    "both,100,false,100",
+    "times,100,true,100 150",
+    "within,,true,150 250",
+    "within,,false,400",
+    "none,100,true,100",
+    "none,,true,400",
+  })
+  void isDueAtEachLimitOfItsClass(String kind, Double due, boolean fromAims, String limits) {
+    String got =
+        Arrays.stream(AIMS.limits(kind, due, 400, fromAims))
+            .mapToObj(l -> Long.toString(Math.round(l)))
+            .collect(Collectors.joining(" "));
+    assertThat(got).isEqualTo(limits);
+  }
+}
