--- a/src/test/java/dev/windbend/daemon/RulesTest.java
+++ b/src/test/java/dev/windbend/daemon/RulesTest.java
@@ -250,6 +250,12 @@
               w.time.at(20_000, () -> w.slowMs[0] = 250);
               w.time.at(60_000, () -> w.slowMs[0] = 0);
             }),
+        day(
+            "nodes stand still for longer than a lease while their clocks run on",
+            w -> {
+              each(w, 20_000, 25_000, 4, () -> w.standStill(w.random.nextInt(3), 36_000));
+              each(w, 18_000, 9_000, 10, () -> w.take(any(w)));
+            }),
         day(
             "nodes are back at once, in the middle of an election",
             w ->
--- a/src/test/java/dev/windbend/daemon/VirtualTime.java
+++ b/src/test/java/dev/windbend/daemon/VirtualTime.java
@@ -37,6 +37,7 @@
     private final long offsetMs;
     private final long wallOffMs;
     private boolean dead;
+    private long stillUntilMs;
 
     private final LongSupplier slowMs;
 
@@ -54,6 +55,24 @@
       return dead;
     }
 
+    /** It runs nothing for so long, while its clocks go on. */
+    void standStill(long forMs) {
+      stillUntilMs = VirtualTime.this.nowMs + forMs;
+    }
+
+    /** Now, or when it goes on. */
+    void run(Runnable task) {
+      if (dead) {
+        return;
+      }
+      long wait = stillUntilMs - VirtualTime.this.nowMs;
+      if (wait > 0) {
+        at(wait, () -> run(task));
+      } else {
+        task.run();
+      }
+    }
+
     @Override
     public long nowMs() {
       return nowMs + offsetMs;
@@ -70,9 +89,12 @@
       at(
           delayMs + slowMs.getAsLong(),
           () -> {
-            if (!off[0] && !dead) {
-              task.run();
-            }
+            run(
+                () -> {
+                  if (!off[0]) {
+                    task.run();
+                  }
+                });
           });
       return () -> off[0] = true;
     }
--- a/src/test/java/dev/windbend/daemon/World.java
+++ b/src/test/java/dev/windbend/daemon/World.java
@@ -110,6 +110,12 @@
     time.at(backMs, () -> startNode(i));
   }
 
+  void standStill(int i, long forMs) {
+    if (loops[i] != null) {
+      loops[i].standStill(forMs);
+    }
+  }
+
   private String settings(int i) {
     StringBuilder s = new StringBuilder();
     s.append("host_name = \"n%d\"\ndomain = \"a\"\n".formatted(i));
@@ -166,9 +172,14 @@
     boolean[] over = {false};
     Consumer<Web.Reply> once =
         r -> {
-          if (!over[0] && (caller == null || !caller.dead())) {
-            over[0] = true;
+          if (over[0]) {
+            return;
+          }
+          over[0] = true;
+          if (caller == null) {
             done.accept(r);
+          } else {
+            caller.run(() -> done.accept(r));
           }
         };
     time.at(limitMs, () -> once.accept(Web.Reply.NONE));
