--- a/src/test/java/dev/windbend/daemon/DoorTest.java
+++ b/src/test/java/dev/windbend/daemon/DoorTest.java
@@ -92,6 +92,22 @@
     }
   }
 
+  /** The largest job there may be: kept in few keys, asked about and cancelled like any other. */
+  @Test
+  void keepsAJobOfAHundredThousandTasks() {
+    String largest = JOB.replace("'drops':2", "'drops':100000");
+    assertThat(ask(0, "POST", "/v1/jobs", largest).status()).isEqualTo(201);
+    w.time.runUntil(60_000);
+    assertThat(w.json(ask(1, "GET", "/v1/jobs/wk-000001", "").body()).path("status").asText())
+        .isEqualTo("running");
+    assertThat(w.store.largestValue).as("bytes of a value").isLessThan(4096);
+    assertThat(ask(2, "POST", "/v1/jobs/wk-000001/cancel", "").status()).isEqualTo(200);
+    w.time.runUntil(120_000);
+    assertThat(w.store.liveKeys("w/j/")).isZero();
+    assertThat(w.json(ask(0, "GET", "/v1/jobs/wk-000001", "").body()).path("status").asText())
+        .isEqualTo("aborted");
+  }
+
   @Test
   void answersAtOnceThatItCanNotDecideInAnOutage() {
     w.store.outage = true;
