Kept workers are bounded from when the mirror was surely complete; a watch lasts 3 s

It now counts from when the watch that was answered last was sent, and a watch is sent anew each 3 s.

--- a/src/main/java/dev/windbend/daemon/Node.java
+++ b/src/main/java/dev/windbend/daemon/Node.java
@@ -124,6 +124,11 @@
               public long knownUpTo() {
                 return replica.revision();
               }
+
+              @Override
+              public long knownUntilMs() {
+                return replica.completeMs();
+              }
             });
     this.lending = new Lending(web, layout.parts(), claims::owner, peerAddresses, this::lend);
     Facts facts = facts(settings, size);
--- a/src/main/java/dev/windbend/peer/Peers.java
+++ b/src/main/java/dev/windbend/peer/Peers.java
@@ -39,6 +39,9 @@
 
     /** This node knows of all up to this revision. */
     long knownUpTo();
+
+    /** This node knows of all that were accepted before then. */
+    long knownUntilMs();
   }
 
   record View(
@@ -79,16 +82,18 @@
   /**
    * May keep workers by empty answers though we can't know what others do. Nodes that are cut off
    * together hear one another and may take it for a general outage, while the rest accept
-   * cancellations. So it is bounded, whoever is heard, from when the state service answered us
-   * last, or from when every other node has told us that its users know of no cancellation that we
-   * don't: then it is a general outage, and all work goes on through it.
+   * cancellations. So it is bounded, whoever is heard, from when we knew of all cancellations last:
+   * when the watch that was answered last was sent, or when every other node had told us that its
+   * users know of no cancellation that we don't. That is a general outage, and all work goes on
+   * through it.
    */
   public boolean mayKeepWorkers() {
     if (addresses.isEmpty()) {
       return true;
     }
     long vouched = Arrays.stream(vouchedMs).min().getAsLong();
-    return !othersServed() && loop.nowMs() - Math.max(store.servedMs(), vouched) <= keepMs;
+    return !othersServed()
+        && loop.nowMs() - Math.max(cancellations.knownUntilMs(), vouched) <= keepMs;
   }
 
   /** Reaches neither the state service nor any other node. */
--- a/src/main/java/dev/windbend/store/Replica.java
+++ b/src/main/java/dev/windbend/store/Replica.java
@@ -13,7 +13,9 @@
 /** A mirror of all keys below one prefix, kept by reading once and following from there. */
 public final class Replica {
   private static final Logger LOG = LoggerFactory.getLogger(Replica.class);
-  private static final long BLOCK_MS = 10_000;
+
+  /** A watch that hangs is given up soon after this, so that the mirror does not lag for longer. */
+  private static final long BLOCK_MS = 3_000;
 
   private final Loop loop;
   private final StoreClient store;
@@ -22,6 +24,7 @@
   private final List<Listener> listeners = new ArrayList<>();
   private long revision = -1;
   private long firstRevision = -1;
+  private long completeMs = Long.MIN_VALUE / 2;
   private boolean synced;
 
   /** Told of every change; {@code now} is null if the key is gone. */
@@ -52,6 +55,11 @@
     return revision;
   }
 
+  /** All that was written before then is in the mirror (steady clock). */
+  public long completeMs() {
+    return completeMs;
+  }
+
   /** The mirror was first read at this revision. */
   public long firstRevision() {
     return firstRevision;
@@ -98,6 +106,7 @@
   }
 
   private void follow() {
+    long sentMs = loop.nowMs();
     store.follow(
         prefix,
         revision,
@@ -116,6 +125,7 @@
             apply(i);
           }
           revision = Math.max(revision, got.revision());
+          completeMs = sentMs;
           loop.after(store.pauseMs(), this::follow);
         });
   }
