Tasks of cancelled jobs are stopped without a hold; nodes tell which jobs they cancelled

Meeting: the state service refuses the owner alone, another node confirms cancellations, then it is out for all beyond cancel_s while workers report to the old owner.

Now: every answer of an unsure owner stops tasks of cancelled jobs; the right to keep a worker is asked again when a waiting answer goes out; nodes tell which jobs they cancelled beyond the asker's revision (from their mirror and what they confirmed since), and tell all others at once when they confirm; the bound counts drift and the kill (PeersTest).

--- a/src/main/java/dev/windbend/daemon/Node.java
+++ b/src/main/java/dev/windbend/daemon/Node.java
@@ -4,6 +4,7 @@
 import dev.windbend.daemon.io.Loop;
 import dev.windbend.daemon.io.Names;
 import dev.windbend.daemon.io.Web;
+import dev.windbend.job.Cancellations;
 import dev.windbend.job.JobDoor;
 import dev.windbend.job.JobRecord;
 import dev.windbend.job.JobSpec;
@@ -49,9 +50,6 @@
   private static final String EVERYTHING = "w/";
   private static final long STALE_MS = 3_000;
 
-  /** For drift of clocks, and for a lease that ends a little late. */
-  private static final long KEEP_SLACK_MS = 1_000;
-
   private final Settings settings;
   private final Policy policy;
   private final Loop loop;
@@ -103,33 +101,17 @@
     long leaseMs = (long) (1000 * f.workers().leaseS());
     this.claims =
         new Claims(loop, store, replica, layout, settings.node(), policy.holdMs(), leaseMs, this);
-    JobDoor door = new JobDoor(loop, store, replica, progress, this::judge);
+    Cancellations cancellations = new Cancellations(replica, this::cancelled);
     this.peers =
         new Peers(
             loop,
             web,
             store,
             addresses,
-            (long) (1000 * f.workers().cancelS()) - leaseMs - KEEP_SLACK_MS,
-            new Peers.Cancellations() {
-              @Override
-              public long toldUpTo() {
-                // What a former life of this process told is in the mirror once that is read.
-                return replica.synced()
-                    ? Math.max(door.cancelledAt(), replica.firstRevision())
-                    : Long.MAX_VALUE;
-              }
-
-              @Override
-              public long knownUpTo() {
-                return replica.revision();
-              }
-
-              @Override
-              public long knownUntilMs() {
-                return replica.completeMs();
-              }
-            });
+            Peers.keepMs(f.workers().leaseS(), f.workers().cancelS()),
+            cancellations);
+    JobDoor door =
+        new JobDoor(loop, store, replica, progress, cancellations, peers::tell, this::judge);
     this.lending = new Lending(web, layout.parts(), claims::owner, peerAddresses, this::lend);
     Facts facts = facts(settings, size);
     this.gate = new Gate(loop, JobDoor::submits, door::handle);
@@ -138,8 +120,21 @@
     replica.listen(this::changed);
     this.shared =
         new Owner.Shared(
-            loop, store, cloud, replica, layout, catalog, directory, facts, policy, claims, peers,
-            estimates, images, lending);
+            loop,
+            store,
+            cloud,
+            replica,
+            layout,
+            catalog,
+            directory,
+            facts,
+            policy,
+            claims,
+            peers,
+            cancellations,
+            estimates,
+            images,
+            lending);
     Gauge.builder("windbend.parts", owners, Map::size).register(meters);
     Gauge.builder("windbend.jobs.live", this, n -> n.sum(Owner::liveJobs)).register(meters);
     Gauge.builder("windbend.machines", this, n -> n.sum(Owner::machineCount)).register(meters);
@@ -219,6 +214,11 @@
     return o == null ? -1 : o.lend(to, count, has);
   }
 
+  /** Confirmed to its user by some node. */
+  private void cancelled(String uid) {
+    owners.values().forEach(o -> o.cancel(uid));
+  }
+
   private void changed(String key, Stored now) {
     if (key.startsWith(JobRecord.LIVE)) {
       String uid = key.substring(JobRecord.LIVE.length());
@@ -263,7 +263,8 @@
   /** What the other nodes and operators reach. */
   public void servePeer(Web.Request request, Consumer<Web.Answer> done) {
     switch (request.path()) {
-      case Peers.PATH -> method("GET", request, done, () -> done.accept(peers.view()));
+      case Peers.PATH -> method("POST", request, done, () -> done.accept(peers.view(request)));
+      case Peers.CANCELLED -> method("POST", request, done, () -> done.accept(peers.told(request)));
       case Lending.PATH -> method("POST", request, done, () -> lending.serve(request, done));
       case "/metrics" ->
           method("GET", request, done, () -> done.accept(Web.Answer.of(200, metrics())));
--- a/src/main/java/dev/windbend/job/Job.java
+++ b/src/main/java/dev/windbend/job/Job.java
@@ -265,14 +265,19 @@
   public void changed(JobRecord.Live record, long version) {
     if (version > this.version) {
       this.version = version;
-      if (record.cancelled() && !cancelled) {
+      if (record.cancelled()) {
         // Here, whoever brings the news: a write of ours that fails on it may be the first.
-        cancelled = true;
-        placed.values().forEach(p -> p.stop(0));
+        cancel();
       }
     }
   }
 
+  /** It is finally cancelled, though our copy of its record may not say so yet. */
+  public void cancel() {
+    cancelled = true;
+    placed.values().forEach(p -> p.stop(0));
+  }
+
   /** Which of some neighbouring tasks are done, as kept in a page. */
   private final class PieceEntry implements Entry {
     private final int index;
--- a/src/main/java/dev/windbend/job/JobDoor.java
+++ b/src/main/java/dev/windbend/job/JobDoor.java
@@ -30,8 +30,9 @@
   private final ArrayDeque<Accepting> accepting = new ArrayDeque<>();
   private final Lookup lookup;
   private final Progress progress;
+  private final Cancellations cancellations;
+  private final Consumer<Cancellations.Cancelled> tellOthers;
   private boolean writing;
-  private long cancelledAt;
 
   /** Says whether a job could ever run; null if that can't be told yet. */
   public interface Fitness {
@@ -43,12 +44,24 @@
 
   private record Accepting(JobRecord.Live record, Consumer<Web.Answer> done) {}
 
+  /**
+   * @param tellOthers tells the other nodes of a cancellation that their mirrors may lack; the
+   *     user's answer does not wait for it
+   */
   public JobDoor(
-      Loop loop, StoreClient store, Replica replica, Progress progress, Fitness fitness) {
+      Loop loop,
+      StoreClient store,
+      Replica replica,
+      Progress progress,
+      Cancellations cancellations,
+      Consumer<Cancellations.Cancelled> tellOthers,
+      Fitness fitness) {
     this.loop = loop;
     this.store = store;
     this.lookup = new Lookup(loop, store, replica);
     this.progress = progress;
+    this.cancellations = cancellations;
+    this.tellOthers = tellOthers;
     this.fitness = fitness;
   }
 
@@ -60,11 +73,6 @@
     return request.path().equals(JOBS);
   }
 
-  /** The newest revision at which a job was cancelled whose user was told so here. */
-  public long cancelledAt() {
-    return cancelledAt;
-  }
-
   public void handle(Web.Request request, Consumer<Web.Answer> done) {
     String rest = request.path().substring(JOBS.length());
     if (rest.isEmpty()) {
@@ -203,7 +211,7 @@
               outcome -> {
                 if (outcome.done()) {
                   LOG.info("cancelled {}", uid);
-                  cancelledAt = Math.max(cancelledAt, outcome.revision());
+                  confirm(uid, outcome.revision());
                   done.accept(
                       Web.Answer.of(
                           200, new UserMessages.Status(uid, Statuses.CANCELLED, null, null)));
@@ -232,7 +240,7 @@
       return Web.Answer.later(1);
     }
     if (live.cancelled()) {
-      cancelledAt = Math.max(cancelledAt, found.live().version());
+      confirm(uid, found.live().version());
     }
     Progress.Tasks tasks = progress.of(uid);
     String status =
@@ -242,6 +250,12 @@
     return Web.Answer.of(200, new UserMessages.Status(uid, status, tasks.done(), tasks.running()));
   }
 
+  private void confirm(String uid, long revision) {
+    if (cancellations.confirm(uid, revision)) {
+      tellOthers.accept(new Cancellations.Cancelled(uid, revision));
+    }
+  }
+
   private static Web.Answer problem(int status, String why) {
     return Web.Answer.of(status, new UserMessages.Problem(why));
   }
--- a/src/main/java/dev/windbend/part/Owner.java
+++ b/src/main/java/dev/windbend/part/Owner.java
@@ -6,6 +6,7 @@
 import dev.windbend.daemon.io.Names;
 import dev.windbend.daemon.io.Web;
 import dev.windbend.job.Board;
+import dev.windbend.job.Cancellations;
 import dev.windbend.job.Job;
 import dev.windbend.job.JobRecord;
 import dev.windbend.job.Placement;
@@ -60,6 +61,7 @@
   private final Policy policy;
   private final Claims claims;
   private final Peers peers;
+  private final Cancellations cancellations;
   private final Estimates estimates;
   private final Names images;
   private final Committer committer;
@@ -100,6 +102,7 @@
       Policy policy,
       Claims claims,
       Peers peers,
+      Cancellations cancellations,
       Estimates estimates,
       Names images,
       Lender lender) {}
@@ -115,6 +118,7 @@
     this.policy = with.policy;
     this.claims = with.claims;
     this.peers = with.peers;
+    this.cancellations = with.cancellations;
     this.estimates = with.estimates;
     this.images = with.images;
     this.committer =
@@ -237,8 +241,8 @@
         job.gone(p);
       }
     }
-    if (job.cancelled) {
-      job.placements().forEach(p -> p.stop(0));
+    if (job.cancelled || cancellations.ahead(job.spec.uid())) {
+      job.cancel();
     }
     board.touched(job);
     return true;
@@ -267,13 +271,27 @@
       boolean before = job.cancelled;
       job.changed(r, now.version());
       if (job.cancelled && !before) {
-        LOG.info("{} is cancelled", uid);
-        board.touched(job);
-        rounds.want();
+        cancelled(job);
       }
     }
   }
 
+  /** Confirmed to its user, though the mirror may not show it yet. */
+  public void cancel(String uid) {
+    Job job = ready() ? board.find(uid) : null;
+    if (job != null && !job.cancelled) {
+      job.cancel();
+      cancelled(job);
+    }
+  }
+
+  private void cancelled(Job job) {
+    LOG.info("{} is cancelled", job.spec.uid());
+    reports.cancelled(job);
+    board.touched(job);
+    rounds.want();
+  }
+
   private void forget(Job job) {
     board.forget(job);
     for (Placement p : job.placements()) {
@@ -329,6 +347,12 @@
     return board.find(uid);
   }
 
+  @Override
+  public boolean cancelled(String uid) {
+    Job job = board.find(uid);
+    return job != null && job.cancelled || cancellations.ahead(uid);
+  }
+
   @Override
   public void touched(Job job) {
     board.touched(job);
--- a/src/main/java/dev/windbend/worker/Reports.java
+++ b/src/main/java/dev/windbend/worker/Reports.java
@@ -2,6 +2,7 @@
 
 import dev.windbend.daemon.io.Loop;
 import dev.windbend.daemon.io.Web;
+import dev.windbend.job.Job;
 import dev.windbend.job.Placement;
 import dev.windbend.machine.Fleet;
 import dev.windbend.machine.Machine;
@@ -88,7 +89,7 @@
     if (!m.newer(r.shift(), r.tally())) {
       // A late copy, or held back by the network: older than what we know, and nobody waits for the
       // answer. It proves nothing and renews nothing.
-      done.accept(answer(m, List.of()));
+      done.accept(unsure(m, r));
       return;
     }
     release(m);
@@ -105,11 +106,8 @@
       host.wantRound();
     }
     if (!m.confirmed || !host.mayAct()) {
-      // Unsure of our hold, we only keep leases alive: nobody takes a lease's end for proof, and a
-      // successor's token is higher. Not if others are served: then the workers should find them.
-      boolean keep = host.mayAct() || host.mayKeepWorkers();
-      m.answered |= keep && host.mayAct();
-      done.accept(keep ? answer(m, List.of()) : Web.Answer.bare(503));
+      m.answered |= host.mayAct();
+      done.accept(unsure(m, r));
       return;
     }
     if (m.draining) {
@@ -169,10 +167,22 @@
   private void release(Machine m) {
     Waiting w = waiting.remove(m);
     if (w != null) {
-      w.done().accept(answer(m, List.of()));
+      w.done().accept(unsure(m, w.report()));
     }
   }
 
+  /**
+   * Unsure of our hold, or of what is on the machine, we only keep leases alive, and stop tasks of
+   * cancelled jobs: nobody takes a lease's end for proof, and a successor's token is higher. Not if
+   * others are served, so that workers find them, and not for longer than is said in {@link
+   * dev.windbend.peer.Peers#mayKeepWorkers}. Asked when the answer goes out, as it may have waited.
+   */
+  private Web.Answer unsure(Machine m, WorkerMessages.Report r) {
+    return host.mayAct() || host.mayKeepWorkers()
+        ? answer(m, desk.cancelledStops(r))
+        : Web.Answer.bare(503);
+  }
+
   private static boolean hasRoom(Machine m) {
     double free = m.type.cores();
     for (Placement p : m.tasks.values()) {
@@ -217,13 +227,28 @@
     boolean act = host.mayAct();
     boolean mayStart = act && !m.returning && !m.draining && m.recorded();
     m.answered |= act;
-    w.done().accept(answer(m, newest && act ? desk.orders(m, w.report(), mayStart) : List.of()));
+    w.done()
+        .accept(
+            newest && act
+                ? answer(m, desk.orders(m, w.report(), mayStart))
+                : unsure(m, w.report()));
   }
 
   private Web.Answer answer(Machine m, List<WorkerMessages.Order> orders) {
     return Web.Answer.of(200, new WorkerMessages.Orders(m.token(token), orders));
   }
 
+  /** A job was cancelled: answers that wait tell its machines at once. */
+  public void cancelled(Job job) {
+    for (Placement p : List.copyOf(job.placements())) {
+      Machine m = fleet.find(p.machine);
+      Waiting w = m == null ? null : waiting.remove(m);
+      if (w != null) {
+        answerNow(w);
+      }
+    }
+  }
+
   /** Something was written or planned: answers that waited for it go out. */
   public void answerWaiting() {
     if (waiting.isEmpty()) {
--- a/src/main/java/dev/windbend/worker/WorkerDesk.java
+++ b/src/main/java/dev/windbend/worker/WorkerDesk.java
@@ -26,6 +26,9 @@
     /** Null if it is not a live job of this part. */
     Job job(String uid);
 
+    /** Finally cancelled, as far as this node knows; whoever owns the part now. */
+    boolean cancelled(String uid);
+
     /** The job's records have changed. */
     void touched(Job job);
 
@@ -170,6 +173,22 @@
     return stops;
   }
 
+  /**
+   * Stops for all reported tasks of cancelled jobs. They need no hold: they are right whoever owns
+   * the part, and without them an owner that is unsure through an outage would keep such a task
+   * alive, by renewing its machine's lease, for longer than {@code cancel_s}.
+   */
+  public List<Order> cancelledStops(Report r) {
+    List<Order> stops = new ArrayList<>();
+    for (TaskState t : r.tasks()) {
+      int slash = t.task().lastIndexOf('/');
+      if (!t.exited() && slash > 0 && book.cancelled(t.task().substring(0, slash))) {
+        stops.add(Order.stop(t.task(), t.attempt(), 0));
+      }
+    }
+    return stops;
+  }
+
   /** A completed task's exit is kept on the machine until the record says it is done. */
   private boolean mayForget(TaskState t) {
     if (!"done".equals(t.cause())) {
--- a/src/test/java/dev/windbend/daemon/RulesTest.java
+++ b/src/test/java/dev/windbend/daemon/RulesTest.java
@@ -1,5 +1,12 @@
 package dev.windbend.daemon;
 
+import static dev.windbend.daemon.Troubles.any;
+import static dev.windbend.daemon.Troubles.crash;
+import static dev.windbend.daemon.Troubles.cutOff;
+import static dev.windbend.daemon.Troubles.deafen;
+import static dev.windbend.daemon.Troubles.each;
+import static dev.windbend.daemon.Troubles.hang;
+import static dev.windbend.daemon.Troubles.outage;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.ArrayList;
@@ -20,51 +27,6 @@
     return Arguments.of(name, troubles);
   }
 
-  private static void each(World w, long fromMs, long everyMs, int times, Runnable what) {
-    for (int i = 0; i < times; i++) {
-      w.time.at(fromMs + i * everyMs, what);
-    }
-  }
-
-  private static StandInWorker any(World w) {
-    List<StandInWorker> all = List.copyOf(w.machines.values());
-    return all.isEmpty() ? null : all.get(w.random.nextInt(all.size()));
-  }
-
-  private static void hang(World w, long forMs) {
-    StandInWorker m = any(w);
-    if (m != null) {
-      m.hung = true;
-      w.time.at(forMs, () -> m.hung = false);
-    }
-  }
-
-  private static void outage(World w, long forMs) {
-    w.store.outage = true;
-    w.time.at(forMs, w.store::recover);
-  }
-
-  private static void crash(World w, long backMs, int... nodes) {
-    for (int i : nodes) {
-      w.kill(i, backMs);
-    }
-  }
-
-  /** Both ways, between one and all others of a list. */
-  private static void cutOff(World w, String one, Iterable<String> others) {
-    for (String o : others) {
-      w.cut.add(one + ">" + o);
-      w.cut.add(o + ">" + one);
-    }
-  }
-
-  /** Its reports arrive, but no answer reaches it. */
-  private static void deafen(World w, StandInWorker m) {
-    for (int n = 0; m != null && n < 3; n++) {
-      w.cut.add("n" + n + ">" + m.name);
-    }
-  }
-
   static Stream<Arguments> days() {
     return Stream.of(
         day("quiet", w -> {}),
--- a/src/test/java/dev/windbend/daemon/StandInStore.java
+++ b/src/test/java/dev/windbend/daemon/StandInStore.java
@@ -48,6 +48,12 @@
     return keys.subMap(prefix, prefix + '\uffff').size();
   }
 
+  /** The value of a key, null if there is none. */
+  JsonNode value(String key) {
+    Value v = keys.get(key);
+    return v == null ? null : v.v;
+  }
+
   /** How often a text stands in the values below a prefix. */
   int timesNamed(String prefix, String text) {
     int n = 0;
--- /dev/null
+++ b/src/test/java/dev/windbend/daemon/Troubles.java
@@ -0,0 +1,53 @@
+package dev.windbend.daemon;
+
+import java.util.List;
+
+/** Troubles of a day in virtual time, as the tables of days name them. */
+final class Troubles {
+  private Troubles() {}
+
+  static void each(World w, long fromMs, long everyMs, int times, Runnable what) {
+    for (int i = 0; i < times; i++) {
+      w.time.at(fromMs + i * everyMs, what);
+    }
+  }
+
+  static StandInWorker any(World w) {
+    List<StandInWorker> all = List.copyOf(w.machines.values());
+    return all.isEmpty() ? null : all.get(w.random.nextInt(all.size()));
+  }
+
+  static void hang(World w, long forMs) {
+    StandInWorker m = any(w);
+    if (m != null) {
+      m.hung = true;
+      w.time.at(forMs, () -> m.hung = false);
+    }
+  }
+
+  static void outage(World w, long forMs) {
+    w.store.outage = true;
+    w.time.at(forMs, w.store::recover);
+  }
+
+  static void crash(World w, long backMs, int... nodes) {
+    for (int i : nodes) {
+      w.kill(i, backMs);
+    }
+  }
+
+  /** Both ways, between one and all others of a list. */
+  static void cutOff(World w, String one, Iterable<String> others) {
+    for (String o : others) {
+      w.cut.add(one + ">" + o);
+      w.cut.add(o + ">" + one);
+    }
+  }
+
+  /** Its reports arrive, but no answer reaches it. */
+  static void deafen(World w, StandInWorker m) {
+    for (int n = 0; m != null && n < 3; n++) {
+      w.cut.add("n" + n + ">" + m.name);
+    }
+  }
+}
--- a/src/test/java/dev/windbend/daemon/World.java
+++ b/src/test/java/dev/windbend/daemon/World.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dev.windbend.daemon.io.Web;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -54,6 +55,9 @@
   /** Nobody cancels a job before this time. */
   long cancelsFromMs;
 
+  /** Starts of tasks after their user had been told that the job is cancelled. */
+  int startedAfterCancel;
+
   /** Machines whose lease ended with tasks on them. */
   int lapsed;
 
@@ -351,8 +355,11 @@
     if (u.begunMs < 0) {
       u.begunMs = time.nowMs();
     }
-    if (u.toldCancelledMs >= 0 && time.nowMs() > u.toldCancelledMs + CANCEL_MS) {
-      broken("ran_cancelled: " + drop);
+    if (u.toldCancelledMs >= 0) {
+      startedAfterCancel++;
+      if (time.nowMs() > u.toldCancelledMs + CANCEL_MS) {
+        broken("ran_cancelled: " + drop);
+      }
     }
     if (u.zone != null && !u.zone.equals(w.zone) || w.spot && !u.spot) {
       broken("wrong_place: " + drop + " on " + w.name);
@@ -394,7 +401,7 @@
     final double cores;
     final String zone;
     final boolean spot;
-    final boolean cancels;
+    boolean cancels;
     long firstSentMs = -1;
     long toldCancelledMs = -1;
     long answeredMs;
@@ -402,6 +409,9 @@
     long begunMs = -1;
     String told = "";
 
+    /** Its requests do not go to this node; null: to any. */
+    String notThrough;
+
     User(int n, int tasks, String zone, boolean spot, boolean cancels) {
       this.uid = "wk-%06d".formatted(n);
       this.team = List.of("red", "blue", "green").get(n % 3);
@@ -515,8 +525,44 @@
 
     private void ask(
         String method, String path, byte[] body, long limitMs, Consumer<Web.Reply> done) {
-      call("users", "n" + random.nextInt(size) + ":80", method, path, body, limitMs, done);
+      int n = random.nextInt(size);
+      if (("n" + n).equals(notThrough)) {
+        n = (n + 1) % size;
+      }
+      call("users", "n" + n + ":80", method, path, body, limitMs, done);
+    }
+  }
+
+  /** Users call off so many jobs that run, through any node but one; their tasks' machines. */
+  List<StandInWorker> cancelNow(int count, String notThrough) {
+    List<StandInWorker> all = new ArrayList<>();
+    int left = count;
+    for (User u : users.values()) {
+      List<StandInWorker> on = machinesOf(u);
+      if (left > 0 && !on.isEmpty() && !u.cancels && !u.told.equals("done")) {
+        left--;
+        u.cancels = true;
+        u.notThrough = notThrough;
+        u.cancel();
+        all.addAll(on);
+      }
     }
+    return all;
+  }
+
+  private List<StandInWorker> machinesOf(User u) {
+    return on.entrySet().stream()
+        .filter(e -> uid(e.getKey()).equals(u.uid))
+        .flatMap(e -> e.getValue().stream())
+        .distinct()
+        .sorted(Comparator.comparing(m -> m.name))
+        .toList();
+  }
+
+  /** The node that holds a part's claim; null: none does. */
+  String owner(int part) {
+    JsonNode claim = store.value("w/c/" + part);
+    return claim == null ? null : claim.path("owner").asText();
   }
 
   /** Asks about a job that nobody has submitted. */
@@ -560,7 +606,6 @@
   }
 
   private boolean runs(User u) {
-    return on.entrySet().stream()
-        .anyMatch(e -> uid(e.getKey()).equals(u.uid) && !e.getValue().isEmpty());
+    return !machinesOf(u).isEmpty();
   }
 }
--- /dev/null
+++ b/src/test/java/dev/windbend/peer/PeersTest.java
@@ -0,0 +1,41 @@
+package dev.windbend.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class PeersTest {
+  /** Steady clocks of different machines drift apart by so much. */
+  private static final double DRIFT = 0.0005;
+
+  /** A worker looks at its lease now and then, and a kill takes its time. */
+  private static final double KILL_S = 0.5;
+
+  /**
+   * A job is cancelled right after we knew of all cancellations; the last answer goes out as late
+   * as may be, to a report sent just then. Its tasks are gone in time all the same.
+   */
+  @ParameterizedTest(name = "report {0} s, lease {1} s, cancellation {2} s")
+  @CsvSource({
+    "3, 30, 50, 19020",
+    "6, 30, 50, 19020",
+    "1.5, 14, 34, 19052",
+    "4, 22, 42, 19036",
+    "6, 60, 70, 8970",
+    "1, 10, 11.5, 578",
+    // Barely longer than a lease: then nothing is kept, whoever vouches.
+    "3, 30, 30.9, -61",
+    "3, 30, 30, -959",
+    "3, 30, 20, -10949"
+  })
+  void keepsWorkersForNoLongerThanCancelledTasksMayLast(
+      double reportS, double leaseS, double cancelS, long keepMs) {
+    long keeps = Peers.keepMs(leaseS, cancelS);
+    assertThat(keeps).isEqualTo(keepMs);
+    if (keeps > 0) {
+      double goneS = keeps / 1000.0 * (1 + DRIFT) + leaseS * (1 + DRIFT) + KILL_S;
+      assertThat(goneS).isLessThan(cancelS);
+    }
+  }
+}
