Tasks of cancelled jobs are stopped by direct commands at once; unused connections are closed

A stop with the next answer comes up to a report interval late, and never from a machine that reaches no node. Direct commands are used for these stops alone: they need no hold, may land late, and nothing relies on them. MeetingsTest: with all machines mute, cancelled tasks are gone 2 s later (before: with their lease).

--- a/src/main/java/dev/windbend/daemon/Node.java
+++ b/src/main/java/dev/windbend/daemon/Node.java
@@ -26,6 +26,7 @@
 import dev.windbend.store.Replica;
 import dev.windbend.store.StoreClient;
 import dev.windbend.store.Stored;
+import dev.windbend.worker.DirectStops;
 import dev.windbend.worker.WorkerMessages;
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.Gauge;
@@ -112,6 +113,7 @@
             cancellations);
     JobDoor door =
         new JobDoor(loop, store, replica, progress, cancellations, peers::tell, this::judge);
+    DirectStops directStops = new DirectStops(loop, web, f.workers().reportS());
     this.lending = new Lending(web, layout.parts(), claims::owner, peerAddresses, this::lend);
     Facts facts = facts(settings, size);
     this.gate = new Gate(loop, JobDoor::submits, door::handle);
@@ -132,6 +134,7 @@
             claims,
             peers,
             cancellations,
+            directStops,
             estimates,
             images,
             lending);
--- a/src/main/java/dev/windbend/daemon/UndertowWeb.java
+++ b/src/main/java/dev/windbend/daemon/UndertowWeb.java
@@ -33,6 +33,10 @@
   private static final int MOST_CONNECTIONS = 16;
   private static final int MOST_WAITING = 500;
   private static final int CHUNK = 8_192;
+
+  /** Unused for so long, connections are closed: calls to many machines must not use up sockets. */
+  private static final long IDLE_MS = 5_000;
+
   private static final OptionMap OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
 
   private final XnioLoop loop;
@@ -42,12 +46,22 @@
   UndertowWeb(XnioLoop loop, ByteBufferPool buffers) {
     this.loop = loop;
     this.buffers = buffers;
+    loop.every(IDLE_MS, () -> targets.values().removeIf(Target::closeIfUnused));
   }
 
   @Override
   public void call(
       String address, String method, String path, byte[] body, long limitMs, Consumer<Reply> done) {
-    Call call = new Call(targets.computeIfAbsent(address, Target::new), method, path, body, done);
+    Target target;
+    try {
+      target = targets.computeIfAbsent(address, Target::new);
+    } catch (IllegalArgumentException e) {
+      // A worker may report any text as its address.
+      LOG.debug("no address: {}", address);
+      loop.after(0, () -> done.accept(Reply.NONE));
+      return;
+    }
+    Call call = new Call(target, method, path, body, done);
     call.untilMs = loop.nowMs() + limitMs;
     call.timer = loop.after(limitMs, call::timedOut);
     call.target.submit(call);
@@ -59,13 +73,26 @@
     private final ArrayDeque<ClientConnection> idle = new ArrayDeque<>();
     private final ArrayDeque<Call> waiting = new ArrayDeque<>();
     private int open;
+    private boolean used;
 
     Target(String address) {
       this.address = address;
       this.uri = URI.create("http://" + address);
     }
 
+    /** Called now and then: true once nothing is left of it. */
+    boolean closeIfUnused() {
+      if (!used) {
+        open -= idle.size();
+        idle.forEach(IoUtils::safeClose);
+        idle.clear();
+      }
+      used = false;
+      return open == 0 && waiting.isEmpty();
+    }
+
     void submit(Call call) {
+      used = true;
       ClientConnection c;
       while ((c = idle.pollLast()) != null) {
         if (c.isOpen()) {
--- a/src/main/java/dev/windbend/machine/Machine.java
+++ b/src/main/java/dev/windbend/machine/Machine.java
@@ -23,6 +23,9 @@
   public long tally = -1;
   public long seenMs = -1;
 
+  /** Where it takes direct commands, as its newest report says; null: not known. */
+  public String address;
+
   /** Its newest report carried our token: what it lists is all there is. */
   public boolean confirmed;
 
--- a/src/main/java/dev/windbend/part/Owner.java
+++ b/src/main/java/dev/windbend/part/Owner.java
@@ -27,6 +27,7 @@
 import dev.windbend.store.StoreClient;
 import dev.windbend.store.Stored;
 import dev.windbend.store.Unit;
+import dev.windbend.worker.DirectStops;
 import dev.windbend.worker.Reports;
 import dev.windbend.worker.WorkerDesk;
 import dev.windbend.worker.WorkerMessages;
@@ -103,6 +104,7 @@
       Claims claims,
       Peers peers,
       Cancellations cancellations,
+      DirectStops directStops,
       Estimates estimates,
       Names images,
       Lender lender) {}
@@ -154,6 +156,7 @@
             loop,
             fleet,
             new WorkerDesk(this),
+            with.directStops,
             this,
             token,
             facts.reportS(),
--- /dev/null
+++ b/src/main/java/dev/windbend/worker/DirectStops.java
@@ -0,0 +1,66 @@
+package dev.windbend.worker;
+
+import dev.windbend.daemon.io.Json;
+import dev.windbend.daemon.io.Loop;
+import dev.windbend.daemon.io.Web;
+import dev.windbend.machine.Machine;
+import java.util.ArrayDeque;
+import java.util.List;
+
+/**
+ * Tells machines at once to stop tasks of cancelled jobs, instead of with the answer to their next
+ * report: that comes seconds later, and not at all from a machine that reaches no node. It needs no
+ * hold and may land late: an attempt of a cancelled job is never wanted again, and the token fences
+ * it. Nothing relies on it; what is lost or dropped here the next answer says again.
+ */
+public final class DirectStops {
+  static final String PATH = "/commands";
+  private static final long LIMIT_MS = 2_000;
+  private static final int MOST_AT_ONCE = 12;
+  private static final int MOST_WAITING = 1_000;
+
+  /** Older than that, the machine has reported and been answered. */
+  private final long staleMs;
+
+  private final Loop loop;
+  private final Web web;
+  private final ArrayDeque<Waiting> waiting = new ArrayDeque<>();
+  private int inProgress;
+
+  private record Waiting(String address, WorkerMessages.Commands commands, long untilMs) {}
+
+  public DirectStops(Loop loop, Web web, double reportS) {
+    this.loop = loop;
+    this.web = web;
+    this.staleMs = (long) (1000 * reportS);
+  }
+
+  void send(Machine m, long token, List<WorkerMessages.Order> stops) {
+    if (m.address == null || stops.isEmpty() || waiting.size() >= MOST_WAITING) {
+      return;
+    }
+    waiting.add(
+        new Waiting(
+            m.address, new WorkerMessages.Commands(token, m.shift, stops), loop.nowMs() + staleMs));
+    next();
+  }
+
+  private void next() {
+    while (inProgress < MOST_AT_ONCE && !waiting.isEmpty()) {
+      Waiting w = waiting.poll();
+      if (loop.nowMs() < w.untilMs()) {
+        inProgress++;
+        web.call(
+            w.address(),
+            "POST",
+            PATH,
+            Json.write(w.commands()),
+            LIMIT_MS,
+            reply -> {
+              inProgress--;
+              next();
+            });
+      }
+    }
+  }
+}
--- a/src/main/java/dev/windbend/worker/Reports.java
+++ b/src/main/java/dev/windbend/worker/Reports.java
@@ -26,6 +26,7 @@
   private final Loop loop;
   private final Fleet fleet;
   private final WorkerDesk desk;
+  private final DirectStops directStops;
   private final Host host;
   private final long token;
   private final long reportMs;
@@ -58,6 +59,7 @@
       Loop loop,
       Fleet fleet,
       WorkerDesk desk,
+      DirectStops directStops,
       Host host,
       long token,
       double reportS,
@@ -66,6 +68,7 @@
     this.loop = loop;
     this.fleet = fleet;
     this.desk = desk;
+    this.directStops = directStops;
     this.host = host;
     this.token = token;
     this.reportMs = (long) (1000 * reportS);
@@ -98,6 +101,7 @@
     m.shift = r.shift();
     m.tally = r.tally();
     m.seenMs = now;
+    m.address = r.address();
     m.confirmed = r.token() == fence;
     if (r.recallS() != null && m.recallMs < 0) {
       m.recallMs = now + (long) (r.recallS() * 1000);
@@ -238,15 +242,26 @@
     return Web.Answer.of(200, new WorkerMessages.Orders(m.token(token), orders));
   }
 
-  /** A job was cancelled: answers that wait tell its machines at once. */
+  /** A job was cancelled: its machines are told at once, by answers that wait or directly. */
   public void cancelled(Job job) {
-    for (Placement p : List.copyOf(job.placements())) {
+    Map<Machine, List<WorkerMessages.Order>> stops = new LinkedHashMap<>();
+    for (Placement p : job.placements()) {
       Machine m = fleet.find(p.machine);
-      Waiting w = m == null ? null : waiting.remove(m);
-      if (w != null) {
-        answerNow(w);
+      if (m != null && (p.seen || p.inherited || p.sentTally >= 0)) {
+        stops
+            .computeIfAbsent(m, k -> new ArrayList<>())
+            .add(WorkerMessages.Order.stop(p.taskName(), p.attempt, 0));
       }
     }
+    stops.forEach(
+        (m, orders) -> {
+          Waiting w = waiting.remove(m);
+          if (w != null) {
+            answerNow(w);
+          } else {
+            directStops.send(m, m.token(token), orders);
+          }
+        });
   }
 
   /** Something was written or planned: answers that waited for it go out. */
--- a/src/main/java/dev/windbend/worker/WorkerMessages.java
+++ b/src/main/java/dev/windbend/worker/WorkerMessages.java
@@ -9,7 +9,7 @@
 
   public record Report(
       @JsonProperty("truck") String machine,
-      @JsonProperty("addr") String addr,
+      @JsonProperty("addr") String address,
       @JsonProperty("rig") String type,
       @JsonProperty("yard") String zone,
       @JsonProperty("standby") boolean spot,
@@ -52,6 +52,12 @@
   public record Orders(
       @JsonProperty("baton") long token, @JsonProperty("orders") List<Order> orders) {}
 
+  /** Sent straight to a worker. */
+  record Commands(
+      @JsonProperty("baton") long token,
+      @JsonProperty("shift") long shift,
+      @JsonProperty("orders") List<Order> orders) {}
+
   public record Order(
       @JsonProperty("order") String order,
       @JsonProperty("drop") String task,
--- a/src/test/java/dev/windbend/daemon/MeetingsTest.java
+++ b/src/test/java/dev/windbend/daemon/MeetingsTest.java
@@ -155,6 +155,16 @@
         });
   }
 
+  /** The tasks of jobs just cancelled are gone soon, by direct commands. */
+  private static void goneBy(World w, List<StandInWorker> machines, long ms) {
+    w.time.at(
+        ms,
+        () ->
+            assertThat(w.cancelledStillOn())
+                .as("tasks of cancelled jobs on %d machines", machines.size())
+                .isEmpty());
+  }
+
   private static int number(String node) {
     return node == null ? 0 : node.charAt(1) - '0';
   }
@@ -235,7 +245,7 @@
                     w.mute.addAll(w.machines.keySet());
                     w.time.at(9_000, w.mute::clear);
                   });
-              w.time.at(62_000, () -> w.cancelNow(4, null));
+              w.time.at(62_000, () -> goneBy(w, w.cancelNow(4, null), 2_000));
             }),
         meeting(
             "more work than room, urgent and not, over slow links",
--- a/src/test/java/dev/windbend/daemon/StandInWorker.java
+++ b/src/test/java/dev/windbend/daemon/StandInWorker.java
@@ -3,10 +3,12 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import dev.windbend.daemon.io.Web;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 
 /** A machine's worker by its published protocol. */
 final class StandInWorker {
@@ -103,7 +105,7 @@
         StandInStore.JSON
             .createObjectNode()
             .put("truck", name)
-            .put("addr", "w:1")
+            .put("addr", name + ":1")
             .put("rig", "t4")
             .put("yard", zone)
             .put("standby", spot)
@@ -162,6 +164,29 @@
         });
   }
 
+  /** A direct command: what a hanging machine was sent it executes when it goes on. */
+  void command(JsonNode order, Consumer<Web.Reply> done) {
+    if (gone) {
+      return;
+    }
+    if (hung) {
+      world.time.at(300, () -> command(order, done));
+      return;
+    }
+    tally++;
+    if (order.path("baton").asLong(-1) < baton || order.path("shift").asLong() != shift) {
+      done.accept(new Web.Reply(409, "{}".getBytes(java.nio.charset.StandardCharsets.UTF_8)));
+      return;
+    }
+    boolean changed = order.path("baton").asLong() > baton;
+    baton = order.path("baton").asLong();
+    changed |= executeOrders(order);
+    if (changed) {
+      changed();
+    }
+    done.accept(new Web.Reply(200, "{}".getBytes(java.nio.charset.StandardCharsets.UTF_8)));
+  }
+
   private void execute(JsonNode answer, long sent, long inShift) {
     long token = answer.path("baton").asLong(-1);
     next(World.REPORT_MS * 3 / 4 + world.random.nextInt((int) World.REPORT_MS / 2));
@@ -171,6 +196,14 @@
     boolean changed = token > baton;
     baton = token;
     leaseFromMs = sent;
+    changed |= executeOrders(answer);
+    if (changed || news) {
+      changed();
+    }
+  }
+
+  private boolean executeOrders(JsonNode answer) {
+    boolean changed = false;
     for (JsonNode o : answer.path("orders")) {
       String drop = o.get("drop").asText();
       long run = o.get("run").asLong();
@@ -190,9 +223,7 @@
         }
       }
     }
-    if (changed || news) {
-      changed();
-    }
+    return changed;
   }
 
   /** One report in flight at a time: what changes meanwhile is told in the next. */
--- a/src/test/java/dev/windbend/daemon/World.java
+++ b/src/test/java/dev/windbend/daemon/World.java
@@ -212,7 +212,7 @@
           }
         };
     time.at(limitMs, () -> once.accept(Web.Reply.NONE));
-    String to = address.substring(0, address.indexOf(':'));
+    String to = to(address);
     if (refused.contains(from + ">" + to)) {
       time.at(1, () -> once.accept(Web.Reply.NONE));
       return;
@@ -259,6 +259,10 @@
                 }));
   }
 
+  private static String to(String address) {
+    return address.substring(0, address.indexOf(':'));
+  }
+
   private void deliver(
       String from,
       String address,
@@ -270,6 +274,13 @@
       store.handle(from, method, path, body, done);
     } else if (address.equals("cloud:1")) {
       cloud(path, body, done);
+    } else if (path.equals("/commands")) {
+      StandInWorker w = machines.get(to(address));
+      if (w == null) {
+        done.accept(Web.Reply.NONE);
+      } else {
+        w.command(json(body), done);
+      }
     } else {
       int i = address.charAt(1) - '0';
       if (nodes[i] == null || loops[i].dead()) {
@@ -679,6 +690,14 @@
     return all;
   }
 
+  /** Jobs told to be cancelled that still have tasks on machines. */
+  List<String> cancelledStillOn() {
+    return users.values().stream()
+        .filter(u -> u.toldCancelledMs >= 0 && runs(u))
+        .map(u -> u.uid)
+        .toList();
+  }
+
   private List<StandInWorker> machinesOf(User u) {
     return on.entrySet().stream()
         .filter(e -> uid(e.getKey()).equals(u.uid))
