--- a/src/test/java/dev/windbend/job/IntakeTest.java
+++ b/src/test/java/dev/windbend/job/IntakeTest.java
@@ -3,7 +3,14 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.DoubleNode;
+import com.fasterxml.jackson.databind.node.IntNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.databind.node.TextNode;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -16,6 +23,8 @@
           + "'rigs':['g8'],'yard':null,'together':true,'spread':false,'standby':true,"
           + "'haul_s':240.0,'waypoint_s':30.0,'stow_s':4.0,'due_s':900.0,'new_field':{}}";
 
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
   private static byte[] json(String text) {
     return text.replace('\'', '"').getBytes(StandardCharsets.UTF_8);
   }
@@ -72,4 +81,63 @@
     String bad = GOOD.replace(from, to == null ? "" : to);
     assertThatThrownBy(() -> Intake.read(json(bad))).isInstanceOf(Intake.Malformed.class);
   }
+
+  /** Each field: missing, null and of another type; a job that lacks one must not be accepted. */
+  @ParameterizedTest(name = "{0}")
+  @CsvSource({
+    "uid, false",
+    "fleet, false",
+    "crew, false",
+    "shape, false",
+    "urgency, false",
+    "drops, false",
+    "cores, false",
+    "cards, false",
+    "ram_gb, false",
+    "load, false",
+    "pull_gb, false",
+    "rigs, true",
+    "yard, true",
+    "together, false",
+    "spread, false",
+    "standby, false",
+    "haul_s, false",
+    "waypoint_s, false",
+    "stow_s, false",
+    "due_s, true"
+  })
+  void refusesAFieldThatIsMissingOrOfTheWrongType(String field, boolean mayBeNull)
+      throws Exception {
+    ObjectNode good = (ObjectNode) MAPPER.readTree(json(GOOD));
+    assertThat(good.has(field)).isTrue();
+    ObjectNode without = good.deepCopy();
+    without.remove(field);
+    for (ObjectNode lacks : List.of(without, good.deepCopy().putNull(field))) {
+      if (mayBeNull) {
+        assertThat(Intake.read(MAPPER.writeValueAsBytes(lacks)).uid()).isEqualTo("wk-000412");
+      } else {
+        refuses(lacks, field);
+      }
+    }
+    for (JsonNode wrong :
+        List.of(
+            MAPPER.createObjectNode(),
+            MAPPER.createArrayNode().add(MAPPER.createArrayNode()),
+            good.get(field).isTextual() || field.equals("yard")
+                ? IntNode.valueOf(7)
+                : TextNode.valueOf("x"),
+            field.equals("yard") ? IntNode.valueOf(1) : DoubleNode.valueOf(-1.5))) {
+      ObjectNode bad = good.deepCopy();
+      bad.set(field, wrong);
+      refuses(bad, field);
+    }
+  }
+
+  private static void refuses(ObjectNode job, String field) throws Exception {
+    byte[] body = MAPPER.writeValueAsBytes(job);
+    assertThatThrownBy(() -> Intake.read(body))
+        .as(job.toString())
+        .isInstanceOf(Intake.Malformed.class)
+        .hasMessageContaining(field);
+  }
 }
