--- a/src/test/java/dev/windbend/daemon/World.java
+++ b/src/test/java/dev/windbend/daemon/World.java
@@ -22,6 +22,10 @@
   static final long CANCEL_MS = 30_000;
   static final long FORGOTTEN_MS = 75_000;
   static final long WAITING_MS = 90_000;
+
+  /** A start in an answer that is under way can't be called back: that is 4 s, and the fetch. */
+  static final long UNDER_WAY_MS = 4_300;
+
   private static final double TEAM_CORES = 40;
   private static final double MACHINE_CORES = 4;
 
@@ -412,6 +416,9 @@
     }
     if (u.toldCancelledMs >= 0) {
       startedAfterCancel++;
+      if (time.nowMs() > u.toldCancelledMs + UNDER_WAY_MS) {
+        broken("started after its cancellation was confirmed: " + drop);
+      }
       if (time.nowMs() > u.toldCancelledMs + CANCEL_MS) {
         broken("ran_cancelled: " + drop);
       }
