Known red: a job waits though a busy machine of another part has room

With the cloud exhausted and tasks of over 90 s a part's waiting job can't use room beside another part's task, as parts lend whole machines only.

--- a/src/test/java/dev/windbend/daemon/RulesTest.java
+++ b/src/test/java/dev/windbend/daemon/RulesTest.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -359,6 +360,29 @@
     }
   }
 
+  /**
+   * The cloud has no more machines, and those of one part keep a long task each and room beside it,
+   * while a job of another part, under its team's limit, waits.
+   */
+  @Test
+  @Tag("known-red")
+  void noJobWaitsWhileABusyMachineOfAnotherPartHasRoom() {
+    World w = new World(1);
+    w.capacity = 4;
+    w.loss = 0;
+    w.late = 0;
+    w.runs = drop -> drop.startsWith("wk-000000") && World.task(drop) % 4 == 0 ? 300_000 : 5_000;
+    w.calmFromMs = 0;
+    w.begin(0, 1);
+    World.User first = w.new User(0, 16, null, true, false);
+    World.User second = w.new User(1, 1, null, true, false);
+    w.time.at(5_000, first::submit);
+    w.time.at(60_000, second::submit);
+    w.time.runUntil(DAY_MS);
+    assertThat(w.unfinished()).isEmpty();
+    assertThat(w.violations).isEmpty();
+  }
+
   @Test
   void givesTheSameVerdictEveryTime() {
     long[] ends = new long[2];
--- a/src/test/java/dev/windbend/daemon/World.java
+++ b/src/test/java/dev/windbend/daemon/World.java
@@ -14,6 +14,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.ToLongFunction;
 
 /** Some nodes, stand-ins for all they talk to, users, and the rules, all in virtual time. */
 final class World {
@@ -81,6 +82,9 @@
   /** Each task of a job runs for so much longer than the one before. */
   long farApartMs;
 
+  /** How long a task runs. */
+  ToLongFunction<String> runs = this::usualRunMs;
+
   /** Jobs have so many tasks at most. */
   int tasksMost = 12;
 
@@ -538,8 +542,15 @@
   }
 
   long runMs(String drop) {
-    int task = Integer.parseInt(drop.substring(drop.indexOf('/') + 1));
-    return leastRunMs + task * farApartMs + 2_000 + Math.floorMod(drop.hashCode(), 9_000);
+    return runs.applyAsLong(drop);
+  }
+
+  static int task(String drop) {
+    return Integer.parseInt(drop.substring(drop.indexOf('/') + 1));
+  }
+
+  private long usualRunMs(String drop) {
+    return leastRunMs + task(drop) * farApartMs + 2_000 + Math.floorMod(drop.hashCode(), 9_000);
   }
 
   // ---- users
