--- a/src/main/java/dev/windbend/daemon/Settings.java
+++ b/src/main/java/dev/windbend/daemon/Settings.java
@@ -34,12 +34,18 @@
       @JsonProperty("state") State state,
       @JsonProperty("cloud") Cloud cloud) {}
 
+  /** A guarantee of 0 is none, and so is a limit of 0: a guest team may use what is left over. */
   public record Team(
       @JsonProperty("name") String name,
       @JsonProperty("cpus") double cores,
       @JsonProperty("cpus_max") double coresMost,
       @JsonProperty("gpus") double cards,
-      @JsonProperty("gpus_max") double cardsMost) {}
+      @JsonProperty("gpus_max") double cardsMost) {
+    public Team {
+      coresMost = coresMost == 0 ? Double.POSITIVE_INFINITY : coresMost;
+      cardsMost = cardsMost == 0 ? Double.POSITIVE_INFINITY : cardsMost;
+    }
+  }
 
   public record Objective(
       @JsonProperty("kind") String kind,
--- a/src/test/java/dev/windbend/daemon/RulesTest.java
+++ b/src/test/java/dev/windbend/daemon/RulesTest.java
@@ -338,6 +338,34 @@
     }
   }
 
+  /** Guests have neither a guarantee nor a limit: they are served, and starve nobody. */
+  @Test
+  void servesGuestsAndTheTeamsBesideThem() {
+    for (long seed = 1; seed <= 3; seed++) {
+      World w = new World(seed);
+      w.capacity = 12;
+      w.begin(0, 1);
+      World.User array = w.new User(1_000, "guests", 300, null, true, false);
+      w.time.at(3_000, array::submit);
+      for (int n = 0; n < 60; n++) {
+        World.User guest = w.new User(2_000 + n, "guests", 1, null, true, false);
+        w.time.at(5_000 + 200 * n, guest::submit);
+      }
+      List<World.User> others = new ArrayList<>();
+      for (int n = 0; n < 30; n++) {
+        World.User u = w.new User(n, 1 + n % 4, null, true, false);
+        others.add(u);
+        w.time.at(20_000 + 3_000 * n, u::submit);
+      }
+      w.time.runUntil(1_200_000);
+      assertThat(w.violations).as("rules, seed %d", seed).isEmpty();
+      assertThat(w.unfinished()).as("unfinished, seed %d", seed).isEmpty();
+      for (World.User u : others) {
+        assertThat(u.begunMs - u.firstSentMs).as("%s of %s", u.uid, u.team).isLessThan(60_000);
+      }
+    }
+  }
+
   /** Three times more work than machines for it, for minutes: no team, size or class starves. */
   @Test
   void everyJobBeginsWithinFourMinutesWhileCapacityIsShort() {
--- a/src/test/java/dev/windbend/daemon/SettingsTest.java
+++ b/src/test/java/dev/windbend/daemon/SettingsTest.java
@@ -67,6 +67,17 @@
         .hasMessageContaining(named);
   }
 
+  /** A guest team: taken for a limit of no cores at all, every job of it was refused with 422. */
+  @Test
+  void aLimitOfZeroIsNone() throws Settings.Invalid {
+    Settings s =
+        Settings.parse(
+            GOOD.replace("cpus = 1.0", "cpus = 0.0").replace("_max = 2.0", "_max = 0.0"));
+    assertThat(s.facts().teams().get(0).cores()).isZero();
+    assertThat(s.facts().teams().get(0).coresMost()).isInfinite();
+    assertThat(s.facts().teams().get(0).cardsMost()).isInfinite();
+  }
+
   @Test
   void operatorsMaySetTheDesignsNumbers() throws Settings.Invalid {
     Policy p = Operator.parse("[plan]\nperiod_s = 5\nrounds_on_events = false\n");
