--- a/src/main/java/dev/windbend/peer/Peers.java
+++ b/src/main/java/dev/windbend/peer/Peers.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Objects;
 
 /**
  * Asks the other nodes, while the state service fails us, whether it serves them: a 503 alone does
@@ -124,7 +125,7 @@
   /** Another node has confirmed cancellations to users. */
   public Web.Answer told(Web.Request request) {
     Told t = Json.read(request.body(), Told.class);
-    if (t == null || t.cancelled() == null) {
+    if (t == null || t.cancelled() == null || t.cancelled().stream().anyMatch(Objects::isNull)) {
       return Web.Answer.bare(400);
     }
     cancellations.learn(t.cancelled());
