--- a/src/main/java/dev/windbend/daemon/Settings.java
+++ b/src/main/java/dev/windbend/daemon/Settings.java
@@ -80,7 +80,7 @@
     try {
       return parse(Files.readString(file));
     } catch (IOException e) {
-      throw new Invalid("cannot read " + file + ": " + e.getMessage());
+      throw new Invalid("cannot read " + file + ": " + e.getClass().getSimpleName());
     }
   }
 
--- a/src/main/java/dev/windbend/part/Owner.java
+++ b/src/main/java/dev/windbend/part/Owner.java
@@ -305,6 +305,9 @@
 
   private void forget(Job job) {
     board.forget(job);
+    if (job.doneCount() == 0) {
+      fleet.machines().forEach(m -> m.failedJobs.remove(job.spec.uid()));
+    }
     for (Placement p : job.placements()) {
       Machine m = fleet.find(p.machine);
       if (m != null) {
@@ -382,7 +385,7 @@
     LOG.info("{} failed on {}", p.taskName(), m.name);
     job.failedOn.add(m.name);
     m.failedJobs.add(job.spec.uid());
-    if (m.failedJobs.size() >= BAD_JOBS) {
+    if (m.failedJobs.stream().filter(this::runsElsewhere).count() >= BAD_JOBS) {
       quarantine(m);
     }
     if (job.failedOn.size() >= BAD_MACHINES) {
@@ -394,6 +397,15 @@
     }
   }
 
+  /**
+   * Only then is its failure the machine's fault: jobs submitted with a mistake fail on every
+   * machine, and two of them would have good machines quarantined, most of all after a takeover.
+   */
+  private boolean runsElsewhere(String uid) {
+    Job job = board.find(uid);
+    return job == null || job.doneCount() > 0;
+  }
+
   private void quarantine(Machine m) {
     if (!m.draining) {
       LOG.warn("{} fails tasks of several jobs: quarantined", m.name);
--- a/src/test/java/dev/windbend/daemon/RulesTest.java
+++ b/src/test/java/dev/windbend/daemon/RulesTest.java
@@ -338,6 +338,38 @@
     }
   }
 
+  /** Jobs that fail everywhere until they are cancelled: no machine is blamed for them. */
+  @Test
+  void mistakenJobsHaveNoMachineQuarantined() {
+    for (long seed = 1; seed <= 3; seed++) {
+      World w = new World(seed);
+      w.capacity = 12;
+      w.runs = drop -> 200_000;
+      w.begin(0, 1);
+      for (int n = 0; n < 6; n++) {
+        World.User u = w.new User(n, 4, null, false, false);
+        w.time.at(3_000, u::submit);
+      }
+      List<World.User> mistaken = new ArrayList<>();
+      for (int n = 6; n < 18; n++) {
+        World.User u = w.new User(n, 5, null, false, false);
+        u.mistaken = true;
+        mistaken.add(u);
+        w.time.at(30_000 + 1_500 * n, u::submit);
+      }
+      w.time.at(80_000, () -> crash(w, 8_000, 0, 1, 2));
+      w.time.runUntil(25_000);
+      int before = w.returned;
+      w.time.runUntil(150_000);
+      assertThat(w.returned).as("given back, seed %d", seed).isEqualTo(before);
+      mistaken.forEach(u -> u.cancels = true);
+      mistaken.forEach(World.User::cancel);
+      w.time.runUntil(DAY_MS);
+      assertThat(w.violations).as("rules, seed %d", seed).isEmpty();
+      assertThat(w.unfinished()).as("unfinished, seed %d", seed).isEmpty();
+    }
+  }
+
   /** Guests have neither a guarantee nor a limit: they are served, and starve nobody. */
   @Test
   void servesGuestsAndTheTeamsBesideThem() {
--- a/src/test/java/dev/windbend/daemon/StandInWorker.java
+++ b/src/test/java/dev/windbend/daemon/StandInWorker.java
@@ -264,7 +264,8 @@
     t.counted = true;
     world.started(t.drop, this);
     changed();
-    world.time.at(sick ? 200 : world.runMs(t.drop), () -> end(t));
+    boolean fails = sick || world.mistaken(t.drop);
+    world.time.at(fails ? 200 : world.runMs(t.drop), () -> end(t));
   }
 
   private void end(Task t) {
@@ -275,10 +276,11 @@
       world.time.at(300, () -> end(t));
       return;
     }
-    if (!sick) {
+    boolean fails = sick || world.mistaken(t.drop);
+    if (!fails) {
       world.completed(t.drop);
     }
-    exit(t, sick ? "error" : "done");
+    exit(t, fails ? "error" : "done");
     changed();
   }
 
--- a/src/test/java/dev/windbend/daemon/World.java
+++ b/src/test/java/dev/windbend/daemon/World.java
@@ -46,6 +46,9 @@
   private int nextMachine;
   int capacity = 30;
 
+  /** Machines that nodes have given back. */
+  int returned;
+
   /** Chances that a message is lost, answered but unheard, or comes late. */
   double loss = 0.002;
 
@@ -337,6 +340,7 @@
       for (JsonNode n : json(body).path("trucks")) {
         StandInWorker w = machines.remove(n.asText());
         if (w != null) {
+          returned++;
           w.vanish();
           capacity++;
         }
@@ -569,6 +573,10 @@
     final boolean spot;
     boolean together;
     boolean spread;
+
+    /** Submitted with a mistake: its tasks fail on every machine. */
+    boolean mistaken;
+
     long couldStartMs;
     boolean cancels;
     long firstSentMs = -1;
@@ -732,6 +740,11 @@
         .toList();
   }
 
+  boolean mistaken(String drop) {
+    User u = users.get(uid(drop));
+    return u != null && u.mistaken;
+  }
+
   private List<StandInWorker> machinesOf(User u) {
     return on.entrySet().stream()
         .filter(e -> uid(e.getKey()).equals(u.uid))
