--- a/src/test/java/dev/windbend/daemon/World.java
+++ b/src/test/java/dev/windbend/daemon/World.java
@@ -94,9 +94,6 @@
   /** Nobody cancels a job before this time. */
   long cancelsFromMs;
 
-  /** Starts of tasks after their user had been told that the job is cancelled. */
-  int startedAfterCancel;
-
   /** Machines whose lease ended with tasks on them. */
   int lapsed;
 
@@ -424,7 +421,6 @@
       u.begunMs = time.nowMs();
     }
     if (u.toldCancelledMs >= 0) {
-      startedAfterCancel++;
       if (time.nowMs() > u.toldCancelledMs + UNDER_WAY_MS) {
         broken("started after its cancellation was confirmed: " + drop);
       }
