--- a/src/main/java/dev/windbend/daemon/Main.java
+++ b/src/main/java/dev/windbend/daemon/Main.java
@@ -1,6 +1,6 @@
 package dev.windbend.daemon;
 
-import dev.windbend.part.Policy;
+import dev.windbend.shard.Policy;
 import io.undertow.Undertow;
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
--- a/src/main/java/dev/windbend/daemon/Node.java
+++ b/src/main/java/dev/windbend/daemon/Node.java
@@ -1,33 +1,33 @@
 package dev.windbend.daemon;
 
+import dev.windbend.daemon.io.EventLoop;
 import dev.windbend.daemon.io.Json;
-import dev.windbend.daemon.io.Loop;
 import dev.windbend.daemon.io.Names;
 import dev.windbend.daemon.io.Web;
 import dev.windbend.job.Cancellations;
-import dev.windbend.job.JobDoor;
+import dev.windbend.job.JobHandler;
 import dev.windbend.job.JobRecord;
 import dev.windbend.job.JobSpec;
 import dev.windbend.job.Progress;
-import dev.windbend.machine.Catalog;
 import dev.windbend.machine.CloudClient;
-import dev.windbend.machine.Directory;
-import dev.windbend.machine.HireRecord;
+import dev.windbend.machine.MachineIndex;
 import dev.windbend.machine.MachineType;
-import dev.windbend.overload.Gate;
-import dev.windbend.part.Claims;
-import dev.windbend.part.Facts;
-import dev.windbend.part.Layout;
-import dev.windbend.part.MachineRequest;
-import dev.windbend.part.Owner;
-import dev.windbend.part.Policy;
-import dev.windbend.peer.Lending;
+import dev.windbend.machine.MachineTypeCatalog;
+import dev.windbend.machine.RentalRecord;
+import dev.windbend.overload.ConcurrencyLimiter;
 import dev.windbend.peer.Peers;
+import dev.windbend.peer.TransferClient;
 import dev.windbend.plan.Estimates;
+import dev.windbend.shard.Facts;
+import dev.windbend.shard.MachineRequest;
+import dev.windbend.shard.Policy;
+import dev.windbend.shard.ShardLayout;
+import dev.windbend.shard.ShardOwner;
+import dev.windbend.shard.ShardOwnership;
 import dev.windbend.store.Replica;
 import dev.windbend.store.StoreClient;
-import dev.windbend.store.Stored;
-import dev.windbend.worker.DirectStops;
+import dev.windbend.store.VersionedValue;
+import dev.windbend.worker.DirectStopClient;
 import dev.windbend.worker.WorkerMessages;
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.Gauge;
@@ -47,33 +47,33 @@
 import org.slf4j.LoggerFactory;
 
 /** One controller: its slices wired together, and the door to each. Runs on one loop. */
-public final class Node implements Claims.Listener {
+public final class Node implements ShardOwnership.Listener {
   private static final Logger LOG = LoggerFactory.getLogger(Node.class);
   private static final String EVERYTHING = "w/";
   private static final long STALE_MS = 3_000;
 
   private final Settings settings;
   private final Policy policy;
-  private final Loop loop;
+  private final EventLoop loop;
   private final StoreClient store;
   private final CloudClient cloud;
-  private final Catalog catalog;
+  private final MachineTypeCatalog catalog;
   private final Replica replica;
-  private final Layout layout;
-  private final Claims claims;
+  private final ShardLayout layout;
+  private final ShardOwnership claims;
   private final Peers peers;
-  private final Lending lending;
-  private final Gate gate;
-  private final Owner.Shared shared;
+  private final TransferClient lending;
+  private final ConcurrencyLimiter gate;
+  private final ShardOwner.Shared shared;
   private final Estimates estimates = new Estimates();
   private final Names images = new Names();
-  private final Map<Integer, Owner> owners = new LinkedHashMap<>();
-  private final Directory directory = new Directory();
+  private final Map<Integer, ShardOwner> owners = new LinkedHashMap<>();
+  private final MachineIndex directory = new MachineIndex();
   private final Progress progress = new Progress();
   private final MeterRegistry meters = new SimpleMeterRegistry();
   private final Map<Integer, Counter> answered = new HashMap<>();
 
-  public Node(Settings settings, Policy policy, Loop loop, Web web) {
+  public Node(Settings settings, Policy policy, EventLoop loop, Web web) {
     this.settings = settings;
     this.policy = policy;
     this.loop = loop;
@@ -97,12 +97,13 @@
             f.state().ops(),
             size);
     this.cloud = new CloudClient(loop, web, settings.services().cloud(), f.cloud().rps(), size);
-    this.catalog = new Catalog(loop, cloud, f.zones());
+    this.catalog = new MachineTypeCatalog(loop, cloud, f.zones());
     this.replica = new Replica(loop, store, EVERYTHING);
-    this.layout = new Layout(f.teams().stream().map(Settings.Team::name).toList(), nodes);
+    this.layout = new ShardLayout(f.teams().stream().map(Settings.Team::name).toList(), nodes);
     long leaseMs = (long) (1000 * f.workers().leaseS());
     this.claims =
-        new Claims(loop, store, replica, layout, settings.node(), policy.holdMs(), leaseMs, this);
+        new ShardOwnership(
+            loop, store, replica, layout, settings.node(), policy.holdMs(), leaseMs, this);
     Cancellations cancellations = new Cancellations(replica, this::cancelled);
     this.peers =
         new Peers(
@@ -112,17 +113,18 @@
             addresses,
             Peers.keepMs(f.workers().leaseS(), f.workers().cancelS()),
             cancellations);
-    JobDoor door =
-        new JobDoor(loop, store, replica, progress, cancellations, peers::tell, this::judge);
-    DirectStops directStops = new DirectStops(loop, web, f.workers().reportS());
-    this.lending = new Lending(web, layout.parts(), claims::owner, peerAddresses, this::lend);
+    JobHandler door =
+        new JobHandler(loop, store, replica, progress, cancellations, peers::tell, this::judge);
+    DirectStopClient directStops = new DirectStopClient(loop, web, f.workers().reportS());
+    this.lending =
+        new TransferClient(web, layout.shards(), claims::owner, peerAddresses, this::lend);
     Facts facts = facts(settings, size);
-    this.gate = new Gate(loop, JobDoor::submits, door::handle);
+    this.gate = new ConcurrencyLimiter(loop, JobHandler::submits, door::handle);
     replica.listen(directory::changed);
     replica.listen(progress::changed);
     replica.listen(this::changed);
     this.shared =
-        new Owner.Shared(
+        new ShardOwner.Shared(
             loop,
             store,
             cloud,
@@ -139,18 +141,18 @@
             estimates,
             images,
             lending);
-    Gauge.builder("windbend.parts", owners, Map::size).register(meters);
-    Gauge.builder("windbend.jobs.live", this, n -> n.sum(Owner::liveJobs)).register(meters);
-    Gauge.builder("windbend.machines", this, n -> n.sum(Owner::machineCount)).register(meters);
+    Gauge.builder("windbend.shards", owners, Map::size).register(meters);
+    Gauge.builder("windbend.jobs.live", this, n -> n.sum(ShardOwner::liveJobs)).register(meters);
+    Gauge.builder("windbend.machines", this, n -> n.sum(ShardOwner::machineCount)).register(meters);
     Gauge.builder(
             "windbend.waiting.oldest.s",
             owners,
-            all -> all.values().stream().mapToInt(Owner::oldestWaitS).max().orElse(0))
+            all -> all.values().stream().mapToInt(ShardOwner::oldestWaitS).max().orElse(0))
         .register(meters);
     Gauge.builder("windbend.store.failing.ms", store, StoreClient::failingForMs).register(meters);
   }
 
-  private int sum(java.util.function.ToIntFunction<Owner> what) {
+  private int sum(java.util.function.ToIntFunction<ShardOwner> what) {
     return owners.values().stream().mapToInt(what).sum();
   }
 
@@ -203,23 +205,23 @@
   // ---- ownership
 
   @Override
-  public void won(int part, long token) {
-    Owner o = new Owner(part, token, shared);
-    owners.put(part, o);
+  public void won(int shard, long token) {
+    ShardOwner o = new ShardOwner(shard, token, shared);
+    owners.put(shard, o);
     o.start();
   }
 
   @Override
-  public void lost(int part) {
-    Owner o = owners.remove(part);
+  public void lost(int shard) {
+    ShardOwner o = owners.remove(shard);
     if (o != null) {
       o.close();
     }
   }
 
-  /** An owner elsewhere, or of another part here, lacks machines. Null: the part is not ours. */
+  /** An owner elsewhere, or of another shard here, lacks machines. Null: the shard is not ours. */
   private MachineRequest.Reply lend(int from, int to, MachineRequest request) {
-    Owner o = owners.get(from);
+    ShardOwner o = owners.get(from);
     return o == null ? null : o.lend(to, request);
   }
 
@@ -228,14 +230,14 @@
     owners.values().forEach(o -> o.cancel(uid));
   }
 
-  private void changed(String key, Stored now) {
+  private void changed(String key, VersionedValue now) {
     if (key.startsWith(JobRecord.LIVE)) {
       String uid = key.substring(JobRecord.LIVE.length());
-      for (Owner o : List.copyOf(owners.values())) {
+      for (ShardOwner o : List.copyOf(owners.values())) {
         o.jobChanged(uid, now);
       }
-    } else if (key.startsWith(HireRecord.KEYS)) {
-      for (Owner o : List.copyOf(owners.values())) {
+    } else if (key.startsWith(RentalRecord.KEYS)) {
+      for (ShardOwner o : List.copyOf(owners.values())) {
         o.hireChanged(key, now);
       }
     }
@@ -262,7 +264,7 @@
       method("POST", request, counted, () -> hello(request.body(), counted));
     } else if (path.equals("/up")) {
       method("GET", request, counted, () -> counted.accept(Web.Answer.bare(up() ? 200 : 503)));
-    } else if (JobDoor.serves(path)) {
+    } else if (JobHandler.serves(path)) {
       gate.handle(request, counted);
     } else {
       counted.accept(Web.Answer.bare(404));
@@ -274,7 +276,7 @@
     switch (request.path()) {
       case Peers.PATH -> method("POST", request, done, () -> done.accept(peers.view(request)));
       case Peers.CANCELLED -> method("POST", request, done, () -> done.accept(peers.told(request)));
-      case Lending.PATH -> method("POST", request, done, () -> lending.serve(request, done));
+      case TransferClient.PATH -> method("POST", request, done, () -> lending.serve(request, done));
       case "/metrics" ->
           method("GET", request, done, () -> done.accept(Web.Answer.of(200, metrics())));
       default -> done.accept(Web.Answer.bare(404));
@@ -310,17 +312,17 @@
   }
 
   /** Null: can't tell before the machine types are known. */
-  private JobDoor.Verdict judge(JobSpec spec) {
+  private JobHandler.Verdict judge(JobSpec spec) {
     int team = layout.team(spec.team());
     if (team < 0) {
-      return new JobDoor.Verdict("unknown team");
+      return new JobHandler.Verdict("unknown team");
     }
     if (!catalog.known()) {
       return null;
     }
     Settings.Team t = settings.facts().teams().get(team);
     if (spec.cores() > t.coresMost() + 1e-9 || spec.cards() > t.cardsMost() + 1e-9) {
-      return new JobDoor.Verdict("one task is over the team's limit");
+      return new JobHandler.Verdict("one task is over the team's limit");
     }
     for (MachineType type : catalog.all()) {
       boolean named = spec.types() == null || spec.types().contains(type.name());
@@ -328,10 +330,10 @@
           spec.zone() == null
               || catalog.zones.find(spec.zone()) >= 0 && type.in(catalog.zones.find(spec.zone()));
       if (named && there && type.fits(spec.cores(), spec.cards(), spec.ram())) {
-        return new JobDoor.Verdict(null);
+        return new JobHandler.Verdict(null);
       }
     }
-    return new JobDoor.Verdict("a task fits no allowed machine type");
+    return new JobHandler.Verdict("a task fits no allowed machine type");
   }
 
   // ---- workers
@@ -343,17 +345,17 @@
       return;
     }
     claims.heardWorker();
-    int part = directory.partOf(r.machine());
-    for (Owner o : owners.values()) {
+    int shard = directory.shardOf(r.machine());
+    for (ShardOwner o : owners.values()) {
       if (o.ready() && o.has(r.machine())) {
         o.report(r, done);
         return;
       }
     }
-    LOG.debug("{} of part {} is not ours", r.machine(), part);
-    // Strays are the first part's to take in.
-    int home = Math.max(part, 0);
-    Owner mine = owners.get(home);
+    LOG.debug("{} of shard {} is not ours", r.machine(), shard);
+    // Unknown machines are the first shard's to take in.
+    int home = Math.max(shard, 0);
+    ShardOwner mine = owners.get(home);
     if (mine == null) {
       String owner = claims.owner(home);
       done.accept(
@@ -362,7 +364,7 @@
               : Web.Answer.of(421, new WorkerMessages.Elsewhere(owner)));
       return;
     }
-    if (part < 0 && !directory.knew(r.machine())) {
+    if (shard < 0 && !directory.knew(r.machine())) {
       mine.stray(r);
     }
     done.accept(Web.Answer.bare(503));
--- a/src/main/java/dev/windbend/daemon/Operator.java
+++ b/src/main/java/dev/windbend/daemon/Operator.java
@@ -1,6 +1,6 @@
 package dev.windbend.daemon;
 
-import dev.windbend.part.Policy;
+import dev.windbend.shard.Policy;
 import java.io.IOException;
 import java.io.StringReader;
 import java.nio.file.Files;
@@ -12,6 +12,9 @@
 public final class Operator {
   private Operator() {}
 
+  private static final String SHARD_SECTION = "shard";
+  private static final String FORMER_SHARD_SECTION = "part";
+
   public static Policy defaults() {
     try {
       return parse("");
@@ -35,12 +38,16 @@
     } catch (IOException e) {
       throw new Settings.Invalid("not INI: " + e.getMessage());
     }
+    if (ini.containsKey(FORMER_SHARD_SECTION)) {
+      throw new Settings.Invalid(
+          "[" + FORMER_SHARD_SECTION + "] is now called [" + SHARD_SECTION + "]");
+    }
     return new Policy(
         millis(ini, "plan", "period_s", 10, 0.5),
         flag(ini, "plan", "rounds_on_events", true),
         millis(ini, "plan", "block_s", 60, 1),
         number(ini, "plan", "implied_due", 4, 1),
-        millis(ini, "part", "hold_s", 4, 1),
+        millis(ini, SHARD_SECTION, "hold_s", 4, 1),
         flag(ini, "plan", "due_from_aims", true),
         number(ini, "worker", "idle_hold", 0.7, 0));
   }
--- a/src/main/java/dev/windbend/daemon/Rehearsal.java
+++ b/src/main/java/dev/windbend/daemon/Rehearsal.java
@@ -1,8 +1,8 @@
 package dev.windbend.daemon;
 
-import dev.windbend.daemon.io.Loop;
+import dev.windbend.daemon.io.EventLoop;
 import dev.windbend.daemon.io.Web;
-import dev.windbend.part.Policy;
+import dev.windbend.shard.Policy;
 import io.undertow.connector.ByteBufferPool;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -100,7 +100,7 @@
   }
 
   private static void canned(
-      Loop loop, Web.Request r, java.util.function.Consumer<Web.Answer> done) {
+      EventLoop loop, Web.Request r, java.util.function.Consumer<Web.Answer> done) {
     String spec =
         "{\"uid\":\"wk-000001\",\"kind\":\"kind\",\"team\":\"team\",\"urgency\":\"URGENT\","
             + "\"tasks\":3,\"cores\":1,\"ram\":1,\"image\":\"img\",\"spot\":true,\"estimateS\":9}";
--- a/src/main/java/dev/windbend/daemon/UndertowWeb.java
+++ b/src/main/java/dev/windbend/daemon/UndertowWeb.java
@@ -1,6 +1,6 @@
 package dev.windbend.daemon;
 
-import dev.windbend.daemon.io.Loop;
+import dev.windbend.daemon.io.EventLoop;
 import dev.windbend.daemon.io.Web;
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
@@ -163,7 +163,7 @@
     private final byte[] body;
     private final Consumer<Reply> done;
     private final ByteArrayOutputStream received = new ByteArrayOutputStream(256);
-    private Loop.Timer timer;
+    private EventLoop.Timer timer;
     private long untilMs;
     private ClientConnection connection;
     private boolean connecting;
--- a/src/main/java/dev/windbend/daemon/XnioLoop.java
+++ b/src/main/java/dev/windbend/daemon/XnioLoop.java
@@ -1,6 +1,6 @@
 package dev.windbend.daemon;
 
-import dev.windbend.daemon.io.Loop;
+import dev.windbend.daemon.io.EventLoop;
 import java.util.concurrent.TimeUnit;
 import org.agrona.concurrent.EpochClock;
 import org.agrona.concurrent.NanoClock;
@@ -12,7 +12,7 @@
 import org.xnio.XnioIoThread;
 
 /** The loop on the one XNIO thread that also reads and writes all sockets. */
-final class XnioLoop implements Loop {
+final class XnioLoop implements EventLoop {
   private static final Logger LOG = LoggerFactory.getLogger(XnioLoop.class);
 
   private final XnioIoThread thread;
--- a/src/main/java/dev/windbend/daemon/io/Loop.java
+++ b/src/main/java/dev/windbend/daemon/io/EventLoop.java
@@ -1,7 +1,7 @@
 package dev.windbend.daemon.io;
 
 /** The one thread that owns all state: its clocks and its timers. Tests put virtual time here. */
-public interface Loop {
+public interface EventLoop {
   /** Steady clock; only differences mean anything. */
   long nowMs();
 
--- a/src/main/java/dev/windbend/job/Job.java
+++ b/src/main/java/dev/windbend/job/Job.java
@@ -1,10 +1,10 @@
 package dev.windbend.job;
 
 import dev.windbend.daemon.io.Json;
-import dev.windbend.store.Draft;
-import dev.windbend.store.Entry;
-import dev.windbend.store.Stored;
-import dev.windbend.store.Unit;
+import dev.windbend.store.PageEntry;
+import dev.windbend.store.PendingWrite;
+import dev.windbend.store.TransactionBuilder;
+import dev.windbend.store.VersionedValue;
 import it.unimi.dsi.fastutil.ints.Int2LongOpenHashMap;
 import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
 import java.util.ArrayList;
@@ -12,7 +12,7 @@
 import java.util.Collection;
 import java.util.List;
 
-/** A live job as its part's owner sees it, with the records that keep it. */
+/** A live job as its shard's owner sees it, with the records that keep it. */
 public final class Job {
   /** Tasks whose ends are recorded together. */
   static final int PIECE = 8_192;
@@ -30,7 +30,7 @@
   public boolean cancelled;
   private long version;
   private final PieceEntry[] pieces;
-  private final List<Entry> entries;
+  private final List<PageEntry> entries;
   private final EndUnit end = new EndUnit();
   private final BitSet done = new BitSet();
   private final BitSet waiting = new BitSet();
@@ -44,8 +44,8 @@
   /** Placements of such tasks. */
   private final Int2ObjectOpenHashMap<Placement> ended = new Int2ObjectOpenHashMap<>();
 
-  private final List<Batch> fresh = new ArrayList<>();
-  private Batch current;
+  private final List<PlacementBatch> fresh = new ArrayList<>();
+  private PlacementBatch current;
   private long currentRound = -1;
   private int batches;
   private boolean archived;
@@ -96,7 +96,7 @@
   }
 
   /** Takes over what the record says of the ends of tasks. */
-  void restore(Entry entry, JobRecord.Piece record) {
+  void restore(PageEntry entry, JobRecord.Piece record) {
     int from = ((PieceEntry) entry).index * PIECE;
     BitSet d = BitSet.valueOf(record.done() == null ? new byte[0] : record.done());
     for (int i = d.nextSetBit(0); i >= 0; i = d.nextSetBit(i + 1)) {
@@ -110,8 +110,8 @@
    * Takes over placements, for the machines to confirm. Of a task that was placed several times the
    * last attempt counts: the others were proved gone before it.
    */
-  Entry restore(String id, JobRecord.Batch record, long nowMs) {
-    Batch batch = new Batch(this, id, record.attempt());
+  PageEntry restore(String id, JobRecord.PlacementBatch record, long nowMs) {
+    PlacementBatch batch = new PlacementBatch(this, id, record.attempt());
     batch.restored();
     batches = Math.max(batches, number(id) + 1);
     for (int run = 0; run < record.runs(); run++) {
@@ -145,13 +145,13 @@
   }
 
   /** What the owner keeps of the ends of its tasks, in pages. */
-  List<Entry> entries() {
+  List<PageEntry> entries() {
     return entries;
   }
 
   /** What was placed since the last call, to be written. */
-  List<Batch> fresh() {
-    List<Batch> all = List.copyOf(fresh);
+  List<PlacementBatch> fresh() {
+    List<PlacementBatch> all = List.copyOf(fresh);
     fresh.clear();
     return all;
   }
@@ -214,7 +214,7 @@
   public Placement place(int task, String machine, long nowMs, long token, long round) {
     if (current == null || currentRound != round || current.full()) {
       long attempt = (token << ROUND_BITS) + round;
-      current = new Batch(this, spec.uid() + BATCH_MARK + batches++, attempt);
+      current = new PlacementBatch(this, spec.uid() + BATCH_MARK + batches++, attempt);
       currentRound = round;
       fresh.add(current);
     }
@@ -263,7 +263,7 @@
   }
 
   /** The move to its final record. */
-  public Unit end() {
+  public PendingWrite end() {
     return end;
   }
 
@@ -290,7 +290,7 @@
   }
 
   /** Which of some neighbouring tasks are done, as kept in a page. */
-  private final class PieceEntry implements Entry {
+  private final class PieceEntry implements PageEntry {
     private final int index;
     private long changes;
     private long written;
@@ -337,7 +337,7 @@
     }
 
     @Override
-    public void begin(Draft draft) {
+    public void begin(TransactionBuilder draft) {
       inFlight = changes;
       hurry = false;
     }
@@ -374,12 +374,12 @@
     }
 
     @Override
-    public void reread(Stored now) {
+    public void reread(VersionedValue now) {
       // depends on nothing
     }
   }
 
-  void reread(Stored now) {
+  void reread(VersionedValue now) {
     if (now == null) {
       archived = true;
       return;
@@ -391,7 +391,7 @@
   }
 
   /** Moves the job to its final record, once: the live key must be as this owner knows it. */
-  private final class EndUnit implements Unit {
+  private final class EndUnit implements PendingWrite {
     private boolean inFlight;
 
     @Override
@@ -410,7 +410,7 @@
     }
 
     @Override
-    public void fill(Draft draft) {
+    public void fill(TransactionBuilder draft) {
       inFlight = true;
       draft.when(key, version);
       draft.delete(key);
@@ -436,7 +436,7 @@
     }
 
     @Override
-    public void reread(String k, Stored now) {
+    public void reread(String k, VersionedValue now) {
       Job.this.reread(now);
     }
   }
--- a/src/main/java/dev/windbend/job/JobDoor.java
+++ b/src/main/java/dev/windbend/job/JobHandler.java
@@ -1,11 +1,11 @@
 package dev.windbend.job;
 
-import dev.windbend.daemon.io.Loop;
+import dev.windbend.daemon.io.EventLoop;
 import dev.windbend.daemon.io.Web;
-import dev.windbend.store.Draft;
 import dev.windbend.store.Outcome;
 import dev.windbend.store.Replica;
 import dev.windbend.store.StoreClient;
+import dev.windbend.store.TransactionBuilder;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -19,12 +19,12 @@
  * The users' API, on every node alike: what it answers is read from, or was just written to, the
  * state service, so no node can give an older answer than another has given.
  */
-public final class JobDoor {
-  private static final Logger LOG = LoggerFactory.getLogger(JobDoor.class);
+public final class JobHandler {
+  private static final Logger LOG = LoggerFactory.getLogger(JobHandler.class);
   private static final String JOBS = "/v1/jobs";
   private static final int CANCEL_TRIES = 8;
 
-  private final Loop loop;
+  private final EventLoop loop;
   private final StoreClient store;
   private final Fitness fitness;
   private final ArrayDeque<Accepting> accepting = new ArrayDeque<>();
@@ -48,8 +48,8 @@
    * @param tellOthers tells the other nodes of a cancellation that their mirrors may lack; the
    *     user's answer does not wait for it
    */
-  public JobDoor(
-      Loop loop,
+  public JobHandler(
+      EventLoop loop,
       StoreClient store,
       Replica replica,
       Progress progress,
@@ -79,11 +79,11 @@
       only("POST", request, done, () -> submit(request.body(), done));
       return;
     }
-    String[] parts = rest.substring(1).split("/", -1);
-    if (parts.length == 1) {
-      only("GET", request, done, () -> poll(parts[0], done));
-    } else if (parts.length == 2 && parts[1].equals("cancel")) {
-      only("POST", request, done, () -> cancel(parts[0], CANCEL_TRIES, done));
+    String[] segments = rest.substring(1).split("/", -1);
+    if (segments.length == 1) {
+      only("GET", request, done, () -> poll(segments[0], done));
+    } else if (segments.length == 2 && segments[1].equals("cancel")) {
+      only("POST", request, done, () -> cancel(segments[0], CANCEL_TRIES, done));
     } else {
       done.accept(Web.Answer.bare(404));
     }
@@ -101,8 +101,8 @@
   private void submit(byte[] body, Consumer<Web.Answer> done) {
     JobSpec spec;
     try {
-      spec = Intake.read(body);
-    } catch (Intake.Malformed e) {
+      spec = SubmissionValidator.read(body);
+    } catch (SubmissionValidator.Malformed e) {
       done.accept(problem(400, e.getMessage()));
       return;
     }
@@ -136,7 +136,7 @@
       return;
     }
     List<Accepting> group = new ArrayList<>();
-    Draft draft = new Draft();
+    TransactionBuilder draft = new TransactionBuilder();
     Map<String, Boolean> uids = new LinkedHashMap<>();
     while (!accepting.isEmpty() && group.size() < store.opsLimit()) {
       String uid = accepting.peek().record().spec().uid();
@@ -183,7 +183,7 @@
   }
 
   private void poll(String uid, Consumer<Web.Answer> done) {
-    if (!Intake.isUid(uid)) {
+    if (!SubmissionValidator.isUid(uid)) {
       done.accept(Web.Answer.bare(404));
       return;
     }
@@ -191,7 +191,7 @@
   }
 
   private void cancel(String uid, int tries, Consumer<Web.Answer> done) {
-    if (!Intake.isUid(uid)) {
+    if (!SubmissionValidator.isUid(uid)) {
       done.accept(Web.Answer.bare(404));
       return;
     }
@@ -204,7 +204,7 @@
             return;
           }
           String key = JobRecord.LIVE + uid;
-          Draft draft = new Draft().when(key, found.live().version());
+          TransactionBuilder draft = new TransactionBuilder().when(key, found.live().version());
           draft.put(key, new JobRecord.Live(live.spec(), live.submittedWallMs(), true));
           store.commitFirst(
               draft,
--- a/src/main/java/dev/windbend/job/JobRecord.java
+++ b/src/main/java/dev/windbend/job/JobRecord.java
@@ -10,13 +10,13 @@
 
   public static final String ENDED = "a/";
 
-  /** Pages of entries, below it the part. */
+  /** Pages of entries, below it the shard. */
   public static final String PAGES = "w/p/";
 
   private JobRecord() {}
 
-  public static String pages(int part) {
-    return PAGES + part + "/";
+  public static String pages(int shard) {
+    return PAGES + shard + "/";
   }
 
   public record Live(
@@ -32,14 +32,14 @@
    * of each), and three numbers for each run of neighbours on a machine: the first task, how many,
    * the index of the machine.
    */
-  public record Batch(
+  public record PlacementBatch(
       @JsonProperty("a") long attempt,
       @JsonProperty("x") String front,
       @JsonProperty("m") List<String> rest,
       @JsonProperty("p") long[] placed) {
     static final int RUN = 3;
 
-    static Batch of(long attempt, List<String> machines, long[] placed) {
+    static PlacementBatch of(long attempt, List<String> machines, long[] placed) {
       String front = machines.isEmpty() ? "" : machines.get(0);
       for (String m : machines) {
         int n = 0;
@@ -49,7 +49,7 @@
         front = front.substring(0, n);
       }
       int length = front.length();
-      return new Batch(
+      return new PlacementBatch(
           attempt, front, machines.stream().map(m -> m.substring(length)).toList(), placed);
     }
 
--- a/src/main/java/dev/windbend/job/Board.java
+++ b/src/main/java/dev/windbend/job/JobRegistry.java
@@ -3,9 +3,9 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import dev.windbend.daemon.io.Json;
 import dev.windbend.store.Committer;
-import dev.windbend.store.Entry;
-import dev.windbend.store.Pages;
-import dev.windbend.store.Stored;
+import dev.windbend.store.PageEntry;
+import dev.windbend.store.PagedStore;
+import dev.windbend.store.VersionedValue;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashMap;
@@ -14,17 +14,17 @@
 import java.util.SortedMap;
 import java.util.function.ToIntFunction;
 
-/** The live jobs of one part, kept in step with their records. */
-public final class Board {
+/** The live jobs of one shard, kept in step with their records. */
+public final class JobRegistry {
   private final Map<String, Job> jobs = new LinkedHashMap<>();
   private final ToIntFunction<String> teamHere;
   private final Committer committer;
-  private final Pages pages;
+  private final PagedStore pages;
 
   /**
-   * @param teamHere the dense index of a team of this part, -1 for any other
+   * @param teamHere the dense index of a team of this shard, -1 for any other
    */
-  public Board(ToIntFunction<String> teamHere, Committer committer, Pages pages) {
+  public JobRegistry(ToIntFunction<String> teamHere, Committer committer, PagedStore pages) {
     this.teamHere = teamHere;
     this.committer = committer;
     this.pages = pages;
@@ -39,17 +39,17 @@
   }
 
   /**
-   * Takes a job in, with what a former owner left of its tasks. Null if it is not of this part;
+   * Takes a job in, with what a former owner left of its tasks. Null if it is not of this shard;
    * else its placements are to be confirmed by their machines.
    */
-  public Job take(Stored record, SortedMap<String, JsonNode> left, long nowMs) {
+  public Job take(VersionedValue record, SortedMap<String, JsonNode> left, long nowMs) {
     JobRecord.Live r = Json.read(record.value(), JobRecord.Live.class);
     int team = r == null || r.spec() == null ? -1 : teamHere.applyAsInt(r.spec().team());
     if (team < 0) {
       return null;
     }
     Job job = new Job(r, record.version(), team, nowMs);
-    for (Entry e : job.entries()) {
+    for (PageEntry e : job.entries()) {
       JsonNode value = left.get(e.id());
       JobRecord.Piece piece = value == null ? null : Json.read(value, JobRecord.Piece.class);
       if (piece != null) {
@@ -61,7 +61,7 @@
     left.subMap(batches, batches + Character.MAX_VALUE)
         .forEach(
             (id, value) -> {
-              JobRecord.Batch batch = Json.read(value, JobRecord.Batch.class);
+              JobRecord.PlacementBatch batch = Json.read(value, JobRecord.PlacementBatch.class);
               if (batch != null) {
                 pages.restored(job.restore(id, batch, nowMs));
               }
@@ -76,7 +76,7 @@
       committer.touch(job.end());
       return;
     }
-    for (Entry e : job.entries()) {
+    for (PageEntry e : job.entries()) {
       if (e.dirty()) {
         pages.touch(e);
       }
--- a/src/main/java/dev/windbend/job/JobSpec.java
+++ b/src/main/java/dev/windbend/job/JobSpec.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 
-/** What a user asked for; immutable once accepted. Stored as it is. */
+/** What a user asked for; immutable once accepted. VersionedValue as it is. */
 public record JobSpec(
     String uid,
     String kind,
--- a/src/main/java/dev/windbend/job/Lookup.java
+++ b/src/main/java/dev/windbend/job/Lookup.java
@@ -1,12 +1,12 @@
 package dev.windbend.job;
 
+import dev.windbend.daemon.io.EventLoop;
 import dev.windbend.daemon.io.Json;
-import dev.windbend.daemon.io.Loop;
-import dev.windbend.store.Draft;
 import dev.windbend.store.Outcome;
 import dev.windbend.store.Replica;
 import dev.windbend.store.StoreClient;
-import dev.windbend.store.Stored;
+import dev.windbend.store.TransactionBuilder;
+import dev.windbend.store.VersionedValue;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -26,7 +26,7 @@
   /** Conditions a transaction may have per change allowed. */
   private static final int CONDITIONS = 4;
 
-  private final Loop loop;
+  private final EventLoop loop;
   private final StoreClient store;
   private final Replica replica;
   private final int most;
@@ -47,15 +47,15 @@
       };
 
   /** Both null and sure: no such job. */
-  record Found(boolean sure, Stored live, JobRecord.Ended over) {
+  record Found(boolean sure, VersionedValue live, JobRecord.Ended over) {
     JobRecord.Live record() {
       return sure && live != null ? Json.read(live.value(), JobRecord.Live.class) : null;
     }
   }
 
-  private record Question(String uid, Stored copy, Consumer<Found> done) {}
+  private record Question(String uid, VersionedValue copy, Consumer<Found> done) {}
 
-  Lookup(Loop loop, StoreClient store, Replica replica) {
+  Lookup(EventLoop loop, StoreClient store, Replica replica) {
     this.loop = loop;
     this.store = store;
     this.replica = replica;
@@ -68,7 +68,7 @@
       done.accept(new Found(true, null, known));
       return;
     }
-    Stored copy = replica.get(JobRecord.LIVE + uid);
+    VersionedValue copy = replica.get(JobRecord.LIVE + uid);
     if (copy == null) {
       readEnded(uid, () -> read(uid, done), done);
       return;
@@ -91,7 +91,7 @@
 
   private void ask() {
     List<Question> batch = new ArrayList<>();
-    Draft draft = new Draft();
+    TransactionBuilder draft = new TransactionBuilder();
     while (!questions.isEmpty() && draft.conditions() < most) {
       Question q = questions.poll();
       draft.when(JobRecord.LIVE + q.uid, q.copy.version());
--- a/src/main/java/dev/windbend/job/Placement.java
+++ b/src/main/java/dev/windbend/job/Placement.java
@@ -11,7 +11,7 @@
   public final String machine;
 
   /** With what it is on record. */
-  final Batch batch;
+  final PlacementBatch batch;
 
   /** Taken over from a former owner: never started again, only found or found missing. */
   public final boolean inherited;
@@ -39,7 +39,7 @@
       int task,
       long attempt,
       String machine,
-      Batch batch,
+      PlacementBatch batch,
       boolean inherited,
       long placedMs) {
     this.job = job;
--- a/src/main/java/dev/windbend/job/Batch.java
+++ b/src/main/java/dev/windbend/job/PlacementBatch.java
@@ -1,8 +1,8 @@
 package dev.windbend.job;
 
-import dev.windbend.store.Draft;
-import dev.windbend.store.Entry;
-import dev.windbend.store.Stored;
+import dev.windbend.store.PageEntry;
+import dev.windbend.store.TransactionBuilder;
+import dev.windbend.store.VersionedValue;
 import it.unimi.dsi.fastutil.longs.LongArrayList;
 import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import java.util.ArrayList;
@@ -13,7 +13,7 @@
  * and counted until each of them is proved gone or recorded as done. So what is written does not
  * grow with what was placed before.
  */
-final class Batch implements Entry {
+final class PlacementBatch implements PageEntry {
   /** At so many machines, runs and names of the usual length fill a page. */
   static final int MOST_RUNS = 90;
 
@@ -26,7 +26,7 @@
   private boolean written;
   private boolean inFlight;
 
-  Batch(Job job, String id, long attempt) {
+  PlacementBatch(Job job, String id, long attempt) {
     this.job = job;
     this.id = id;
     this.attempt = attempt;
@@ -96,7 +96,7 @@
         continue;
       }
       if (last != null && p.task == last.task + 1 && p.machine.equals(last.machine)) {
-        int count = runs.size() - JobRecord.Batch.RUN + 1;
+        int count = runs.size() - JobRecord.PlacementBatch.RUN + 1;
         runs.set(count, runs.getLong(count) + 1);
       } else {
         if (!indices.containsKey(p.machine)) {
@@ -109,11 +109,11 @@
       }
       last = p;
     }
-    return JobRecord.Batch.of(attempt, machines, runs.toLongArray());
+    return JobRecord.PlacementBatch.of(attempt, machines, runs.toLongArray());
   }
 
   @Override
-  public void begin(Draft draft) {
+  public void begin(TransactionBuilder draft) {
     inFlight = true;
     if (!written) {
       // Cancelled or ended meanwhile: then nothing of it may start.
@@ -138,7 +138,7 @@
   }
 
   @Override
-  public void reread(Stored now) {
+  public void reread(VersionedValue now) {
     job.reread(now);
   }
 }
--- a/src/main/java/dev/windbend/job/Progress.java
+++ b/src/main/java/dev/windbend/job/Progress.java
@@ -2,8 +2,8 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import dev.windbend.daemon.io.Json;
-import dev.windbend.store.Pages;
-import dev.windbend.store.Stored;
+import dev.windbend.store.PagedStore;
+import dev.windbend.store.VersionedValue;
 import java.util.BitSet;
 import java.util.HashMap;
 import java.util.Map;
@@ -18,11 +18,11 @@
   public record Tasks(int done, int running) {}
 
   /** A page or a live job has changed; null: it is gone. */
-  public void changed(String key, Stored now) {
+  public void changed(String key, VersionedValue now) {
     if (key.startsWith(JobRecord.LIVE) && now == null) {
       jobs.remove(key.substring(JobRecord.LIVE.length()));
     } else if (key.startsWith(JobRecord.PAGES) && now != null) {
-      Pages.Page page = Json.read(now.value(), Pages.Page.class);
+      PagedStore.Page page = Json.read(now.value(), PagedStore.Page.class);
       if (page != null && page.entries() != null) {
         page.entries().forEach((id, value) -> count(id, value, now.version()));
       }
@@ -37,7 +37,7 @@
     int done = 0;
     int placed = 0;
     if (id.charAt(mark) == Job.BATCH_MARK) {
-      JobRecord.Batch b = Json.read(value, JobRecord.Batch.class);
+      JobRecord.PlacementBatch b = Json.read(value, JobRecord.PlacementBatch.class);
       for (int run = 0; b != null && run < b.runs(); run++) {
         placed += b.count(run);
       }
--- a/src/main/java/dev/windbend/job/Intake.java
+++ b/src/main/java/dev/windbend/job/SubmissionValidator.java
@@ -8,7 +8,7 @@
 import java.util.regex.Pattern;
 
 /** Reads a submission; says exactly what is wrong with a malformed one. */
-final class Intake {
+final class SubmissionValidator {
   static final int MOST_TASKS = 100_000;
   private static final int LONGEST_NAME = 128;
   private static final int MOST_TYPES = 16;
@@ -22,7 +22,7 @@
     }
   }
 
-  private Intake() {}
+  private SubmissionValidator() {}
 
   static boolean isUid(String text) {
     return UID.matcher(text).matches();
--- a/src/main/java/dev/windbend/machine/CloudClient.java
+++ b/src/main/java/dev/windbend/machine/CloudClient.java
@@ -1,7 +1,7 @@
 package dev.windbend.machine;
 
+import dev.windbend.daemon.io.EventLoop;
 import dev.windbend.daemon.io.Json;
-import dev.windbend.daemon.io.Loop;
 import dev.windbend.daemon.io.Web;
 import dev.windbend.store.Rate;
 import java.util.ArrayDeque;
@@ -14,7 +14,7 @@
 public final class CloudClient {
   private static final long LIMIT_MS = 4_000;
 
-  private final Loop loop;
+  private final EventLoop loop;
   private final Web web;
   private final String address;
   private final Rate rate;
@@ -32,7 +32,7 @@
     void done(Rented how, List<String> machines);
   }
 
-  public CloudClient(Loop loop, Web web, String address, double rps, int nodes) {
+  public CloudClient(EventLoop loop, Web web, String address, double rps, int nodes) {
     this.loop = loop;
     this.web = web;
     this.address = address;
--- a/src/main/java/dev/windbend/machine/Fleet.java
+++ b/src/main/java/dev/windbend/machine/Fleet.java
@@ -1,7 +1,7 @@
 package dev.windbend.machine;
 
-import dev.windbend.daemon.io.Loop;
-import dev.windbend.store.Unit;
+import dev.windbend.daemon.io.EventLoop;
+import dev.windbend.store.PendingWrite;
 import it.unimi.dsi.fastutil.objects.Object2LongOpenHashMap;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -18,7 +18,7 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * The machines of one part. Wanted and actual differ by rentals under way and machines to give
+ * The machines of one shard. Wanted and actual differ by rentals under way and machines to give
  * back; both are pursued until the cloud has surely answered.
  */
 public final class Fleet {
@@ -28,13 +28,13 @@
   private static final long REFUSED_MS = 8_000;
   private static final long AGAIN_MS = 1_500;
 
-  private final Loop loop;
+  private final EventLoop loop;
   private final CloudClient cloud;
-  private final Catalog catalog;
-  private final int part;
+  private final MachineTypeCatalog catalog;
+  private final int shard;
   private final long token;
   private final Host host;
-  private final Map<String, Hire> hires = new LinkedHashMap<>();
+  private final Map<String, Rental> hires = new LinkedHashMap<>();
   private final Map<String, Machine> machines = new LinkedHashMap<>();
   private final Set<Machine> leaving = new LinkedHashSet<>();
   private final Object2LongOpenHashMap<String> refusedUntil = new Object2LongOpenHashMap<>();
@@ -53,7 +53,7 @@
 
   /** What the fleet needs of its owner. */
   public interface Host {
-    void touch(Unit unit);
+    void touch(PendingWrite unit);
 
     /** The cloud has confirmed: the machine and all that was on it are gone. */
     void gone(Machine machine);
@@ -64,11 +64,17 @@
     boolean mayAct();
   }
 
-  public Fleet(Loop loop, CloudClient cloud, Catalog catalog, int part, long token, Host host) {
+  public Fleet(
+      EventLoop loop,
+      CloudClient cloud,
+      MachineTypeCatalog catalog,
+      int shard,
+      long token,
+      Host host) {
     this.loop = loop;
     this.cloud = cloud;
     this.catalog = catalog;
-    this.part = part;
+    this.shard = shard;
     this.token = token;
     this.host = host;
   }
@@ -86,16 +92,16 @@
   }
 
   /**
-   * A record found in the state service, or just given to this part. A rental without an answer is
-   * asked again under its name; of the others the machines are this part's unless a later record
+   * A record found in the state service, or just given to this shard. A rental without an answer is
+   * asked again under its name; of the others the machines are this shard's unless a later record
    * names them.
    */
   public void restore(
-      String name, HireRecord record, long version, Directory directory, boolean inherited) {
+      String name, RentalRecord record, long version, MachineIndex directory, boolean inherited) {
     if (hires.containsKey(name)) {
       return;
     }
-    Hire h = hire(name, record, version);
+    Rental h = hire(name, record, version);
     if (h == null || record.open()) {
       return;
     }
@@ -117,19 +123,19 @@
     }
   }
 
-  private Hire hire(String name, HireRecord record, long version) {
+  private Rental hire(String name, RentalRecord record, long version) {
     MachineType type = catalog.find(record.type());
     if (type == null) {
       LOG.error("rental {} names the unknown type {}", name, record.type());
       return null;
     }
     int zone = catalog.zones.index(record.zone());
-    Hire h = new Hire(name, part, record, type, zone, version, loop.nowMs());
+    Rental h = new Rental(name, shard, record, type, zone, version, loop.nowMs());
     hires.put(name, h);
     return h;
   }
 
-  private Machine add(String name, Hire hire, long rentedMs) {
+  private Machine add(String name, Rental hire, long rentedMs) {
     Machine m = new Machine(name, hire, rentedMs, loop.nowMs());
     machines.put(name, m);
     hire.machines.add(m);
@@ -154,7 +160,7 @@
   /** Machines asked for and not answered yet. */
   public Collection<Pending> pending() {
     List<Pending> all = new ArrayList<>();
-    for (Hire h : hires.values()) {
+    for (Rental h : hires.values()) {
       if (!h.answered) {
         all.add(new Pending(h.type, h.zone, h.asked.spot(), h.asked.count(), h.madeMs));
       }
@@ -166,18 +172,18 @@
 
   /**
    * Each batch takes two changes in the state service, also one that is refused. So while the cloud
-   * had none of a kind last, one batch asks for it, now and then: a part that asked for all it
+   * had none of a kind last, one batch asks for it, now and then: a shard that asked for all it
    * lacked again and again would use up the changes that submissions and starts need.
    */
   public void rent(MachineType type, int zone, boolean spot, int count) {
     boolean probe = scarce.contains(kind(type.index(), zone, spot));
     for (int left = probe ? Math.min(count, HIRE_BATCH) : count; left > 0; left -= HIRE_BATCH) {
       // The token is never used again, so neither is the name.
-      String name = "p" + part + "-" + token + "-" + ++sequence;
-      Hire h =
+      String name = "p" + shard + "-" + token + "-" + ++sequence;
+      Rental h =
           hire(
               name,
-              new HireRecord(
+              new RentalRecord(
                   type.name(),
                   catalog.zones.name(zone),
                   spot,
@@ -196,13 +202,13 @@
     }
   }
 
-  /** Gives machines that nobody has on record to a part, which may be this one. */
-  void adopt(Stray kind, List<String> names, int to) {
-    LOG.info("adopting {} for part {}", names, to);
-    grant(new HireRecord(kind.type(), kind.zone(), kind.spot(), 0, names, 0L), to, () -> {});
+  /** Gives machines that nobody has on record to a shard, which may be this one. */
+  void adopt(UnknownMachine kind, List<String> names, int to) {
+    LOG.info("adopting {} for shard {}", names, to);
+    grant(new RentalRecord(kind.type(), kind.zone(), kind.spot(), 0, names, 0L), to, () -> {});
   }
 
-  /** Gives empty machines to another part; they are used no more from now on. */
+  /** Gives empty machines to another shard; they are used no more from now on. */
   public void lend(Collection<Machine> given, int to) {
     Map<String, List<Machine>> kinds = new LinkedHashMap<>();
     for (Machine m : given) {
@@ -213,24 +219,24 @@
       for (int i = 0; i < group.size(); i += HIRE_BATCH) {
         List<Machine> some = List.copyOf(group.subList(i, Math.min(group.size(), i + HIRE_BATCH)));
         List<String> names = some.stream().map(m -> m.name).toList();
-        LOG.info("lending {} to part {}", names, to);
+        LOG.info("lending {} to shard {}", names, to);
         Machine m = some.get(0);
         grant(
-            new HireRecord(m.type.name(), catalog.zones.name(m.zone), m.spot, 0, names, 0L),
+            new RentalRecord(m.type.name(), catalog.zones.name(m.zone), m.spot, 0, names, 0L),
             to,
             () -> some.forEach(this::leave));
       }
     }
   }
 
-  private void grant(HireRecord record, int to, Runnable done) {
-    String key = HireRecord.prefix(to) + "g" + part + "-" + token + "-" + ++sequence;
-    host.touch(new Grant(key, record, done));
+  private void grant(RentalRecord record, int to, Runnable done) {
+    String key = RentalRecord.prefix(to) + "g" + shard + "-" + token + "-" + ++sequence;
+    host.touch(new TransferRecord(key, record, done));
   }
 
   /** Takes note of what has been written: machines given away, rentals that are complete. */
   public void afterWrite() {
-    for (Hire h : List.copyOf(hires.values())) {
+    for (Rental h : List.copyOf(hires.values())) {
       if (h.answered && h.machines.isEmpty()) {
         drop(h);
       }
@@ -259,7 +265,7 @@
     if (closed || !host.mayAct()) {
       return;
     }
-    for (Hire h : List.copyOf(hires.values())) {
+    for (Rental h : List.copyOf(hires.values())) {
       if (h.answered || !h.recorded() || h.asking) {
         continue;
       }
@@ -303,7 +309,7 @@
     host.gone(m);
   }
 
-  private void ask(Hire h) {
+  private void ask(Rental h) {
     h.asking = true;
     h.sent = true;
     cloud.rent(
@@ -349,16 +355,16 @@
         });
   }
 
-  private void refuse(Hire h) {
+  private void refuse(Rental h) {
     scarce.add(kind(h));
     refusedUntil.put(kind(h), loop.nowMs() + REFUSED_MS);
   }
 
-  private static String kind(Hire h) {
+  private static String kind(Rental h) {
     return kind(h.type.index(), h.zone, h.asked.spot());
   }
 
-  private void drop(Hire h) {
+  private void drop(Rental h) {
     hires.remove(h.name);
     h.finish(loop.nowMs());
     host.touch(h);
@@ -386,10 +392,11 @@
   }
 
   /**
-   * Looks through the cloud's list for failed machines of ours, and for machines that no part
+   * Looks through the cloud's list for failed machines of ours, and for machines that no shard
    * knows. The list lags, so strays must stay unknown for long.
    */
-  public void check(long strayMs, Predicate<String> known, BiConsumer<String, Stray> found) {
+  public void check(
+      long strayMs, Predicate<String> known, BiConsumer<String, UnknownMachine> found) {
     cloud.list(
         listed -> {
           if (closed || listed == null) {
@@ -406,7 +413,7 @@
               now.add(l.name());
               long since = unknownSince.computeIfAbsent(l.name(), k -> loop.nowMs());
               if (loop.nowMs() - since >= strayMs) {
-                found.accept(l.name(), new Stray(l.type(), l.zone(), l.spot()));
+                found.accept(l.name(), new UnknownMachine(l.type(), l.zone(), l.spot()));
               }
             }
           }
--- a/src/main/java/dev/windbend/machine/Machine.java
+++ b/src/main/java/dev/windbend/machine/Machine.java
@@ -7,7 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 
-/** A machine of the part, as its owner knows it. */
+/** A machine of the shard, as its owner knows it. */
 public final class Machine {
   private static final double ROUNDING = 1e-6;
 
@@ -66,24 +66,24 @@
   /** We have answered it under our token. */
   public boolean answered;
 
-  /** Reports one after the other that show no effect of what we answered. */
+  /** ReportHandler one after the other that show no effect of what we answered. */
   public int unheard;
 
-  /** Goes to this part once it is empty, -1: stays. */
+  /** Goes to this shard once it is empty, -1: stays. */
   public int promisedTo = -1;
 
   /** Promised: tasks that are still on it from then on are stopped; -1: they may end first. */
   public long vacateByMs = -1;
 
   /** The record that names it. */
-  final Hire hire;
+  final Rental hire;
 
   /** The record's write with its name is under way. */
   boolean listing;
 
   private boolean listed;
 
-  /** On its way to another part. */
+  /** On its way to another shard. */
   private boolean lent;
 
   private boolean used;
@@ -93,7 +93,7 @@
 
   private double leastFreeCoresBefore;
 
-  Machine(String name, Hire hire, long rentedMs, long nowMs) {
+  Machine(String name, Rental hire, long rentedMs, long nowMs) {
     this.name = name;
     this.hire = hire;
     this.type = hire.type;
@@ -109,7 +109,7 @@
     return hire.asked.zone();
   }
 
-  /** Came from another part. */
+  /** Came from another shard. */
   public boolean received() {
     return hire.fence > 0;
   }
@@ -146,7 +146,7 @@
   }
 
   /**
-   * The fencing token for this machine: above the giver's, if it was given to this part, and never
+   * The fencing token for this machine: above the giver's, if it was given to this shard, and never
    * below the claim's.
    */
   public long token(long claim) {
@@ -179,9 +179,9 @@
   }
 
   /**
-   * May be given on while idle. Not if this part was given it and had no use for it: parts that all
-   * lack machines of another kind would pass it round for ever, and the cloud could not rent it to
-   * them as what they need.
+   * May be given on while idle. Not if this shard was given it and had no use for it: shards that
+   * all lack machines of another kind would pass it round for ever, and the cloud could not rent it
+   * to them as what they need.
    */
   public boolean mayBeLent() {
     return used || hire.fence == 0;
--- a/src/main/java/dev/windbend/machine/Watch.java
+++ b/src/main/java/dev/windbend/machine/MachineHealth.java
@@ -6,8 +6,8 @@
 import java.util.Map;
 import java.util.TreeMap;
 
-/** Finds machines of a part that are silent, deaf, never came up, or are due to leave. */
-public final class Watch {
+/** Finds machines of a shard that are silent, deaf, never came up, or are due to leave. */
+public final class MachineHealth {
   private static final long RECALL_SLACK_MS = 1_000;
 
   /** A living machine that hears us reports at least so often, in intervals. */
@@ -42,7 +42,7 @@
   /** When each zone last looked cut off. */
   private final long[] cutMs;
 
-  public Watch(Fleet fleet, int zones, double reportS, double leaseS) {
+  public MachineHealth(Fleet fleet, int zones, double reportS, double leaseS) {
     this.fleet = fleet;
     this.zones = zones;
     this.reportMs = (long) (1000 * reportS);
@@ -119,7 +119,7 @@
    * Machines were heard before, and for longer than a lost answer and an interval explain this node
    * has heard none at all: what is cut off is the node. A few may go at once by chance.
    *
-   * @param heardMs when any worker was heard last, of this part or another
+   * @param heardMs when any worker was heard last, of this shard or another
    */
   public boolean lostWorkers(long now, long heardMs) {
     long seen = fleet.machines().stream().filter(m -> m.seenMs >= 0).count();
--- a/src/main/java/dev/windbend/machine/Directory.java
+++ b/src/main/java/dev/windbend/machine/MachineIndex.java
@@ -1,17 +1,17 @@
 package dev.windbend.machine;
 
 import dev.windbend.daemon.io.Json;
-import dev.windbend.store.Stored;
+import dev.windbend.store.VersionedValue;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
-/** Which part each machine belongs to, as the mirrored records tell. */
-public final class Directory {
+/** Which shard each machine belongs to, as the mirrored records tell. */
+public final class MachineIndex {
   private static final int FORMER_KEPT = 4_000;
 
-  private record Home(String key, int part, long fence) {}
+  private record Home(String key, int shard, long fence) {}
 
   private final Map<String, Home> homes = new HashMap<>();
   private final Map<String, List<String>> listed = new HashMap<>();
@@ -28,11 +28,11 @@
       };
 
   /** A record has changed; null: it is gone. */
-  public void changed(String key, Stored now) {
-    if (!key.startsWith(HireRecord.KEYS)) {
+  public void changed(String key, VersionedValue now) {
+    if (!key.startsWith(RentalRecord.KEYS)) {
       return;
     }
-    HireRecord r = now == null ? null : Json.read(now.value(), HireRecord.class);
+    RentalRecord r = now == null ? null : Json.read(now.value(), RentalRecord.class);
     List<String> after = r == null || r.open() ? List.of() : r.machines();
     for (String name : listed.getOrDefault(key, List.of())) {
       Home h = homes.get(name);
@@ -42,7 +42,7 @@
       }
     }
     for (String name : after) {
-      Home h = new Home(key, HireRecord.part(key), r.fence(now.version()));
+      Home h = new Home(key, RentalRecord.shard(key), r.fence(now.version()));
       homes.merge(name, h, (a, b) -> a.fence > b.fence ? a : b);
     }
     if (after.isEmpty()) {
@@ -53,9 +53,9 @@
   }
 
   /** -1: nobody's. */
-  public int partOf(String machine) {
+  public int shardOf(String machine) {
     Home h = homes.get(machine);
-    return h == null ? -1 : h.part;
+    return h == null ? -1 : h.shard;
   }
 
   public boolean knows(String machine) {
--- a/src/main/java/dev/windbend/machine/Catalog.java
+++ b/src/main/java/dev/windbend/machine/MachineTypeCatalog.java
@@ -1,22 +1,22 @@
 package dev.windbend.machine;
 
-import dev.windbend.daemon.io.Loop;
+import dev.windbend.daemon.io.EventLoop;
 import dev.windbend.daemon.io.Names;
 import java.util.ArrayList;
 import java.util.List;
 
 /** The machine types on offer at present prices, by dense index. */
-public final class Catalog {
+public final class MachineTypeCatalog {
   private static final long FRESH_MS = 30_000;
   private static final long RETRY_MS = 1_000;
 
   public final Names zones = new Names();
   private final Names typeNames = new Names();
   private final List<MachineType> types = new ArrayList<>();
-  private final Loop loop;
+  private final EventLoop loop;
   private final CloudClient cloud;
 
-  public Catalog(Loop loop, CloudClient cloud, List<String> zoneNames) {
+  public MachineTypeCatalog(EventLoop loop, CloudClient cloud, List<String> zoneNames) {
     this.loop = loop;
     this.cloud = cloud;
     zoneNames.forEach(zones::index);
--- a/src/main/java/dev/windbend/machine/Hire.java
+++ b/src/main/java/dev/windbend/machine/Rental.java
@@ -1,17 +1,17 @@
 package dev.windbend.machine;
 
-import dev.windbend.store.Draft;
-import dev.windbend.store.Stored;
-import dev.windbend.store.Unit;
+import dev.windbend.store.PendingWrite;
+import dev.windbend.store.TransactionBuilder;
+import dev.windbend.store.VersionedValue;
 import java.util.ArrayList;
 import java.util.List;
 
 /**
  * One rental, or machines given together, kept in one record: before the cloud is asked, with its
- * machines once it has answered, and until none of them is left with this part. A record for each
+ * machines once it has answered, and until none of them is left with this shard. A record for each
  * machine would take most of the changes that the state service allows.
  */
-final class Hire implements Unit {
+final class Rental implements PendingWrite {
   /** A name too many does no harm: a successor looks for it in the cloud's list. */
   private static final long LAZY_MS = 60_000;
 
@@ -19,13 +19,13 @@
   final String key;
   final MachineType type;
   final int zone;
-  final HireRecord asked;
+  final RentalRecord asked;
   final long madeMs;
 
-  /** From this token on only this part may command its machines; 0: rented by this part. */
+  /** From this token on only this shard may command its machines; 0: rented by this shard. */
   final long fence;
 
-  /** Those still with this part. */
+  /** Those still with this shard. */
   final List<Machine> machines = new ArrayList<>();
 
   boolean asking;
@@ -44,16 +44,16 @@
   private boolean removed;
 
   /** {@code version} 0: not stored yet. */
-  Hire(
+  Rental(
       String name,
-      int part,
-      HireRecord asked,
+      int shard,
+      RentalRecord asked,
       MachineType type,
       int zone,
       long version,
       long nowMs) {
     this.name = name;
-    this.key = HireRecord.prefix(part) + name;
+    this.key = RentalRecord.prefix(shard) + name;
     this.asked = asked;
     this.type = type;
     this.zone = zone;
@@ -85,7 +85,7 @@
     changed(nowMs, true);
   }
 
-  /** Returned, or another part's: the record may name it a while longer. */
+  /** Returned, or another shard's: the record may name it a while longer. */
   void without(Machine m, long nowMs) {
     if (machines.remove(m)) {
       changed(nowMs, false);
@@ -115,7 +115,7 @@
   }
 
   @Override
-  public void fill(Draft draft) {
+  public void fill(TransactionBuilder draft) {
     writing = changes;
     hurry = false;
     draft.when(key, version);
@@ -125,7 +125,7 @@
       List<String> names = answered ? machines.stream().map(m -> m.name).toList() : null;
       draft.put(
           key,
-          new HireRecord(
+          new RentalRecord(
               asked.type(),
               asked.zone(),
               asked.spot(),
@@ -157,7 +157,7 @@
   }
 
   @Override
-  public void reread(String k, Stored now) {
+  public void reread(String k, VersionedValue now) {
     version = now == null ? 0 : now.version();
     removed = over && now == null;
   }
--- a/src/main/java/dev/windbend/machine/HireRecord.java
+++ b/src/main/java/dev/windbend/machine/RentalRecord.java
@@ -4,30 +4,30 @@
 import java.util.List;
 
 /**
- * Machines of one kind that came to a part together, as stored until none of them is left with it.
+ * Machines of one kind that came to a shard together, as stored until none of them is left with it.
  * Either a rental, stored before the cloud is asked ({@code machines} null: it has not answered
- * yet), or machines that another part gave or that were found.
+ * yet), or machines that another shard gave or that were found.
  *
  * @param fence null: a rental; 0: given, and this record's version is the token from which on only
  *     the receiver may command the machines; else that version, kept when the record is rewritten.
  *     Of several records that name a machine the one with the highest counts.
  */
-public record HireRecord(
+public record RentalRecord(
     @JsonProperty("type") String type,
     @JsonProperty("zone") String zone,
     @JsonProperty("spot") boolean spot,
     @JsonProperty("count") int count,
     @JsonProperty("machines") List<String> machines,
     @JsonProperty("fence") Long fence) {
-  /** Below it: part, then the name. */
+  /** Below it: shard, then the name. */
   public static final String KEYS = "w/h/";
 
-  public static String prefix(int part) {
-    return KEYS + part + "/";
+  public static String prefix(int shard) {
+    return KEYS + shard + "/";
   }
 
-  /** The part of a key, -1 if it has none. */
-  static int part(String key) {
+  /** The shard of a key, -1 if it has none. */
+  static int shard(String key) {
     int end = key.indexOf('/', KEYS.length());
     try {
       return end < 0 ? -1 : Integer.parseInt(key.substring(KEYS.length(), end));
--- a/src/main/java/dev/windbend/machine/Grant.java
+++ b/src/main/java/dev/windbend/machine/TransferRecord.java
@@ -1,21 +1,21 @@
 package dev.windbend.machine;
 
-import dev.windbend.store.Draft;
-import dev.windbend.store.Stored;
-import dev.windbend.store.Unit;
+import dev.windbend.store.PendingWrite;
+import dev.windbend.store.TransactionBuilder;
+import dev.windbend.store.VersionedValue;
 
 /**
- * Machines of one kind on their way to a part, from another part or from nobody: one record, below
- * the receiver's key, whatever their number.
+ * Machines of one kind on their way to a shard, from another shard or from nobody: one record,
+ * below the receiver's key, whatever their number.
  */
-final class Grant implements Unit {
+final class TransferRecord implements PendingWrite {
   private final String key;
-  private final HireRecord record;
+  private final RentalRecord record;
   private final Runnable done;
   private boolean inFlight;
   private boolean written;
 
-  Grant(String key, HireRecord record, Runnable done) {
+  TransferRecord(String key, RentalRecord record, Runnable done) {
     this.key = key;
     this.record = record;
     this.done = done;
@@ -37,7 +37,7 @@
   }
 
   @Override
-  public void fill(Draft draft) {
+  public void fill(TransactionBuilder draft) {
     inFlight = true;
     draft.when(key, 0);
     draft.put(key, record);
@@ -62,7 +62,7 @@
   }
 
   @Override
-  public void reread(String k, Stored now) {
+  public void reread(String k, VersionedValue now) {
     if (now != null) {
       // Applied by a write of ours whose answer was lost.
       finish();
--- a/src/main/java/dev/windbend/machine/Stray.java
+++ b/src/main/java/dev/windbend/machine/UnknownMachine.java
@@ -1,9 +1,9 @@
 package dev.windbend.machine;
 
-/** What is known of a machine that no part has on record. */
-public record Stray(String type, String zone, boolean spot) {
+/** What is known of a machine that no shard has on record. */
+public record UnknownMachine(String type, String zone, boolean spot) {
   /** It could be one that this rental brings. */
-  boolean mayBelongTo(HireRecord hire) {
+  boolean mayBelongTo(RentalRecord hire) {
     return hire.open()
         && hire.spot() == spot
         && hire.type().equals(type)
--- a/src/main/java/dev/windbend/machine/Strays.java
+++ b/src/main/java/dev/windbend/machine/UnknownMachines.java
@@ -1,7 +1,7 @@
 package dev.windbend.machine;
 
+import dev.windbend.daemon.io.EventLoop;
 import dev.windbend.daemon.io.Json;
-import dev.windbend.daemon.io.Loop;
 import dev.windbend.store.StoreClient;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -12,19 +12,19 @@
 
 /**
  * Machines that report or are listed, but are on nobody's record: taken in and dealt out among the
- * parts. The mirror may lag, so the rentals are read from the state service itself first: a machine
- * that exists was preceded by its rental's record, so one that no record names, while none of its
- * kind is without an answer, is nobody's.
+ * shards. The mirror may lag, so the rentals are read from the state service itself first: a
+ * machine that exists was preceded by its rental's record, so one that no record names, while none
+ * of its kind is without an answer, is nobody's.
  */
-public final class Strays {
+public final class UnknownMachines {
   private static final long PAUSE_MS = 1_000;
   private static final int MOST = 150;
 
-  private final Loop loop;
+  private final EventLoop loop;
   private final StoreClient store;
   private final Fleet fleet;
-  private final int parts;
-  private final Map<String, Stray> noted = new LinkedHashMap<>();
+  private final int shards;
+  private final Map<String, UnknownMachine> noted = new LinkedHashMap<>();
 
   /** Dealt out; the record that says so may take a while under load, and must stay the only one. */
   private final Set<String> dealt = new HashSet<>();
@@ -33,18 +33,18 @@
   private boolean closed;
   private int next;
 
-  public Strays(Loop loop, StoreClient store, Fleet fleet, int parts) {
+  public UnknownMachines(EventLoop loop, StoreClient store, Fleet fleet, int shards) {
     this.loop = loop;
     this.store = store;
     this.fleet = fleet;
-    this.parts = parts;
+    this.shards = shards;
   }
 
   public void close() {
     closed = true;
   }
 
-  public void note(String machine, Stray stray) {
+  public void note(String machine, UnknownMachine stray) {
     if (noted.size() < MOST && !dealt.contains(machine)) {
       noted.put(machine, stray);
     }
@@ -53,16 +53,16 @@
       loop.after(
           PAUSE_MS,
           () -> {
-            Map<String, Stray> open = new LinkedHashMap<>(noted);
+            Map<String, UnknownMachine> open = new LinkedHashMap<>(noted);
             noted.clear();
             look(null, open, new HashSet<>());
           });
     }
   }
 
-  private void look(String from, Map<String, Stray> open, Set<String> taken) {
+  private void look(String from, Map<String, UnknownMachine> open, Set<String> taken) {
     store.list(
-        HireRecord.KEYS,
+        RentalRecord.KEYS,
         from,
         page -> {
           if (closed) {
@@ -73,7 +73,7 @@
             return;
           }
           for (StoreClient.Item i : page.items()) {
-            HireRecord h = Json.read(i.value(), HireRecord.class);
+            RentalRecord h = Json.read(i.value(), RentalRecord.class);
             if (h != null && h.open()) {
               open.values().removeIf(s -> s.mayBelongTo(h));
             } else if (h != null) {
@@ -92,15 +92,15 @@
         });
   }
 
-  private void deal(Map<String, Stray> found) {
-    List<Map<Stray, List<String>>> hands = new ArrayList<>();
-    for (int p = 0; p < parts; p++) {
+  private void deal(Map<String, UnknownMachine> found) {
+    List<Map<UnknownMachine, List<String>>> hands = new ArrayList<>();
+    for (int p = 0; p < shards; p++) {
       hands.add(new LinkedHashMap<>());
     }
     found.forEach(
         (name, kind) ->
-            hands.get(next++ % parts).computeIfAbsent(kind, k -> new ArrayList<>()).add(name));
-    for (int p = 0; p < parts; p++) {
+            hands.get(next++ % shards).computeIfAbsent(kind, k -> new ArrayList<>()).add(name));
+    for (int p = 0; p < shards; p++) {
       int to = p;
       hands.get(p).forEach((kind, names) -> fleet.adopt(kind, names, to));
     }
--- a/src/main/java/dev/windbend/overload/Gate.java
+++ b/src/main/java/dev/windbend/overload/ConcurrencyLimiter.java
@@ -2,7 +2,7 @@
 
 import com.netflix.concurrency.limits.Limit;
 import com.netflix.concurrency.limits.limit.Gradient2Limit;
-import dev.windbend.daemon.io.Loop;
+import dev.windbend.daemon.io.EventLoop;
 import dev.windbend.daemon.io.Web;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -13,20 +13,20 @@
  * is answered at once, with when to come back. New submissions get a part of it only: questions
  * about accepted jobs and cancellations go ahead of them.
  */
-public final class Gate {
+public final class ConcurrencyLimiter {
   private static final int FIRST = 40;
   private static final int LEAST = 8;
   private static final int MOST = 200;
   private static final double FOR_NEW = 0.7;
 
-  private final Loop loop;
+  private final EventLoop loop;
   private final Predicate<Web.Request> isNew;
   private final Web.Door inner;
   private final Limit limit =
       Gradient2Limit.newBuilder().initialLimit(FIRST).minLimit(LEAST).maxConcurrency(MOST).build();
   private int inProgress;
 
-  public Gate(Loop loop, Predicate<Web.Request> isNew, Web.Door inner) {
+  public ConcurrencyLimiter(EventLoop loop, Predicate<Web.Request> isNew, Web.Door inner) {
     this.loop = loop;
     this.isNew = isNew;
     this.inner = inner;
--- a/src/main/java/dev/windbend/peer/Peers.java
+++ b/src/main/java/dev/windbend/peer/Peers.java
@@ -1,8 +1,8 @@
 package dev.windbend.peer;
 
 import com.fasterxml.jackson.annotation.JsonProperty;
+import dev.windbend.daemon.io.EventLoop;
 import dev.windbend.daemon.io.Json;
-import dev.windbend.daemon.io.Loop;
 import dev.windbend.daemon.io.Web;
 import dev.windbend.job.Cancellations;
 import dev.windbend.job.Cancellations.Cancelled;
@@ -37,7 +37,7 @@
   /** What is not told at once is heard of with the next change of the mirror, or asked for. */
   private static final int MOST_TOLD = 500;
 
-  private final Loop loop;
+  private final EventLoop loop;
   private final Web web;
   private final StoreClient store;
   private final List<String> addresses;
@@ -69,7 +69,7 @@
    *     answers, so that their leases end before the tasks of a cancelled job have to be gone
    */
   public Peers(
-      Loop loop,
+      EventLoop loop,
       Web web,
       StoreClient store,
       List<String> addresses,
--- a/src/main/java/dev/windbend/peer/Lending.java
+++ b/src/main/java/dev/windbend/peer/TransferClient.java
@@ -3,27 +3,27 @@
 import com.fasterxml.jackson.annotation.JsonProperty;
 import dev.windbend.daemon.io.Json;
 import dev.windbend.daemon.io.Web;
-import dev.windbend.part.MachineRequest;
-import dev.windbend.part.Owner;
+import dev.windbend.shard.MachineRequest;
+import dev.windbend.shard.ShardOwner;
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.IntFunction;
 
 /**
- * Asks the other parts' owners for machines, one after the other. The machines themselves change
+ * Asks the other shards' owners for machines, one after the other. The machines themselves change
  * hands by their records in the state service, so a lost or repeated message does no harm.
  */
-public final class Lending implements Owner.Lender {
+public final class TransferClient implements ShardOwner.Lender {
   public static final String PATH = "/peer/lend";
   private static final long LIMIT_MS = 400;
 
   private final Web web;
-  private final int parts;
+  private final int shards;
   private final IntFunction<String> ownerOf;
   private final Map<String, String> addresses;
   private final Local local;
 
-  /** Lends from a part owned here; null if it is not. */
+  /** Lends from a shard owned here; null if it is not. */
   public interface Local {
     MachineRequest.Reply lend(int from, int to, MachineRequest request);
   }
@@ -32,40 +32,44 @@
       @JsonProperty("from") int from,
       @JsonProperty("to") int to,
       @JsonProperty("request") MachineRequest request) {
-    boolean valid(int parts) {
-      return request != null && request.count() >= 0 && to >= 0 && to < parts && from != to;
+    boolean valid(int shards) {
+      return request != null && request.count() >= 0 && to >= 0 && to < shards && from != to;
     }
   }
 
-  public Lending(
-      Web web, int parts, IntFunction<String> ownerOf, Map<String, String> addresses, Local local) {
+  public TransferClient(
+      Web web,
+      int shards,
+      IntFunction<String> ownerOf,
+      Map<String, String> addresses,
+      Local local) {
     this.web = web;
-    this.parts = parts;
+    this.shards = shards;
     this.ownerOf = ownerOf;
     this.addresses = addresses;
     this.local = local;
   }
 
   @Override
-  public void ask(int part, MachineRequest request, Consumer<MachineRequest.Reply> done) {
-    next(part, 1, request, MachineRequest.Reply.NOTHING, done);
+  public void ask(int shard, MachineRequest request, Consumer<MachineRequest.Reply> done) {
+    next(shard, 1, request, MachineRequest.Reply.NOTHING, done);
   }
 
   private void next(
-      int part,
+      int shard,
       int step,
       MachineRequest request,
       MachineRequest.Reply soFar,
       Consumer<MachineRequest.Reply> done) {
     MachineRequest left = request.remaining(soFar);
-    if (step >= parts || left == null) {
+    if (step >= shards || left == null) {
       done.accept(soFar);
       return;
     }
-    int from = (part + step) % parts;
+    int from = (shard + step) % shards;
     Consumer<MachineRequest.Reply> then =
-        reply -> next(part, step + 1, request, soFar.plus(reply), done);
-    MachineRequest.Reply here = local.lend(from, part, left);
+        reply -> next(shard, step + 1, request, soFar.plus(reply), done);
+    MachineRequest.Reply here = local.lend(from, shard, left);
     if (here != null) {
       then.accept(here);
       return;
@@ -80,7 +84,7 @@
         address,
         "POST",
         PATH,
-        Json.write(new Ask(from, part, left)),
+        Json.write(new Ask(from, shard, left)),
         LIMIT_MS,
         reply -> {
           MachineRequest.Reply given =
@@ -91,7 +95,7 @@
 
   public void serve(Web.Request request, Consumer<Web.Answer> done) {
     Ask ask = Json.read(request.body(), Ask.class);
-    if (ask == null || !ask.valid(parts)) {
+    if (ask == null || !ask.valid(shards)) {
       done.accept(Web.Answer.bare(400));
       return;
     }
--- a/src/main/java/dev/windbend/plan/Line.java
+++ b/src/main/java/dev/windbend/plan/MachineReservations.java
@@ -9,7 +9,7 @@
 import java.util.List;
 
 /** A machine's free room over time, and what of it is spoken for. */
-final class Line {
+final class MachineReservations {
   /** A change of what is free. */
   private record Step(long atMs, Size size) {}
 
@@ -33,7 +33,7 @@
   /** Something is held for later, so room that is free now may not stay so. */
   private boolean held;
 
-  Line(Room room, int index, long nowMs) {
+  MachineReservations(Room room, int index, long nowMs) {
     this.room = room;
     this.index = index;
     this.type = room.type();
@@ -52,7 +52,7 @@
     }
   }
 
-  Line(Offer o, long nowMs) {
+  MachineReservations(Offer o, long nowMs) {
     this.room = null;
     this.index = -1;
     this.type = o.type();
--- a/src/main/java/dev/windbend/plan/Planner.java
+++ b/src/main/java/dev/windbend/plan/Planner.java
@@ -21,7 +21,7 @@
   /** A job must begin within four minutes of its submission; at half of that it goes first. */
   private static final long BEGIN_MS = 120_000;
 
-  /** The part of such a job's tasks that goes first. */
+  /** The fraction of such a job's tasks that goes first, as its divisor. */
   private static final int BEGIN_PART = 8;
 
   /** Older ones are long overdue. */
@@ -37,7 +37,7 @@
   private static final double EARLY_MS = 1_000;
 
   private final Snapshot s;
-  private final List<Line> lines = new ArrayList<>();
+  private final List<MachineReservations> lines = new ArrayList<>();
   private final List<Full> full = new ArrayList<>();
   private final Ask[] asks;
   private final int[] rented;
@@ -56,7 +56,7 @@
   private record Full(Size size, long untilMs) {}
 
   /** A machine with what speaks for or against it. */
-  private record Choice(Line line, double score, long atMs, List<Integer> victims) {
+  private record Choice(MachineReservations line, double score, long atMs, List<Integer> victims) {
     private static final Comparator<Choice> BEST =
         Comparator.comparingDouble(Choice::score).thenComparingInt(c -> c.line.index);
   }
@@ -94,12 +94,12 @@
           && (!w.spread() || zones[zone] + 1 <= (w.tasks() + 1) / 2);
     }
 
-    boolean mayUse(Line l) {
+    boolean mayUse(MachineReservations l) {
       return mayUse(l.type, l.zone, l.spot)
           && (l.room == null || !w.avoidRooms().contains(l.index));
     }
 
-    void took(Line l) {
+    void took(MachineReservations l) {
       zones[l.zone]++;
       together = w.together() ? l.zone : -1;
       left--;
@@ -118,7 +118,7 @@
     }
     this.machinesIn = new int[zones];
     for (int i = 0; i < s.rooms().size(); i++) {
-      Line l = new Line(s.rooms().get(i), i, s.nowMs());
+      MachineReservations l = new MachineReservations(s.rooms().get(i), i, s.nowMs());
       lines.add(l);
       cheapest = Math.min(cheapest, l.room.pricePerH());
       if (l.zone < zones) {
@@ -183,9 +183,9 @@
 
   /** Idle machines: at the end of their block they go, those beyond the reserve before it. */
   private void idle(List<Integer> spare, List<Integer> back) {
-    List<Line> idle = new ArrayList<>();
+    List<MachineReservations> idle = new ArrayList<>();
     double cores = -s.reserveCores();
-    for (Line l : lines) {
+    for (MachineReservations l : lines) {
       if (l.room != null && l.room.up() && l.room.idle() && !l.taken) {
         idle.add(l);
         spare.add(l.index);
@@ -193,8 +193,8 @@
       }
     }
     // The dear ones first.
-    idle.sort(Comparator.<Line>comparingDouble(l -> -l.room.pricePerH()));
-    for (Line l : idle) {
+    idle.sort(Comparator.<MachineReservations>comparingDouble(l -> -l.room.pricePerH()));
+    for (MachineReservations l : idle) {
       boolean beyond = cores >= l.now.cores() && l.room.goFromMs() <= s.nowMs();
       if (l.room.paidUntilMs() <= s.nowMs() || beyond) {
         back.add(l.index);
@@ -246,7 +246,7 @@
   }
 
   /** The room is spoken for from then on, and counts for the team's limit at once. */
-  private void take(Ask a, Line l, long atMs) {
+  private void take(Ask a, MachineReservations l, long atMs) {
     Work w = a.w;
     l.take(atMs, w.estimateMs() + fetchMs(w, l), w.size());
     usedCores[w.team()] += w.size().cores();
@@ -254,12 +254,12 @@
     a.took(l);
   }
 
-  private void place(Ask a, Line l) {
+  private void place(Ask a, MachineReservations l) {
     take(a, l, s.nowMs());
     places.add(new Wanted.Place(a.index, l.index));
   }
 
-  private static long fetchMs(Work w, Line l) {
+  private static long fetchMs(Work w, MachineReservations l) {
     return l.room != null && l.room.images().contains(w.image()) || l.fetchGbPerS <= 0
         ? 0
         : (long) (1000 * w.imageGb() / l.fetchGbPerS);
@@ -275,7 +275,7 @@
     boolean early = s.nowMs() < w.startByMs();
     List<Choice> choices = new ArrayList<>();
     looks += lines.size();
-    for (Line l : lines) {
+    for (MachineReservations l : lines) {
       if (l.room == null || !l.room.up() || !a.mayUse(l)) {
         continue;
       }
@@ -308,13 +308,13 @@
     }
   }
 
-  private double score(Line l, double delayMs) {
+  private double score(MachineReservations l, double delayMs) {
     double dear = cheapest > 0 ? l.room.pricePerH() / cheapest - 1 : 0;
     return l.now.cores() * LOOSE_MS + delayMs + DEAR_MS * dear;
   }
 
   /** Running past the paid block extends it. That must not cost more than a new machine would. */
-  private double extendingCosts(Work w, Line l) {
+  private double extendingCosts(Work w, MachineReservations l) {
     long past = s.nowMs() + w.estimateMs() - l.room.paidUntilMs();
     return past <= 0 ? 0 : l.room.pricePerH() * past;
   }
@@ -350,7 +350,7 @@
    */
   private void makeRoom(Ask a, int keep) {
     PriorityQueue<Choice> choices = new PriorityQueue<>(Choice.BEST);
-    for (Line l : lines) {
+    for (MachineReservations l : lines) {
       if (a.left > keep && l.room != null && l.room.up() && a.mayUse(l)) {
         offerVictims(a.w, l, choices);
       }
@@ -372,7 +372,7 @@
   }
 
   /** Picks the cheapest few to stop. */
-  private void offerVictims(Work w, Line l, PriorityQueue<Choice> choices) {
+  private void offerVictims(Work w, MachineReservations l, PriorityQueue<Choice> choices) {
     looks++;
     List<Running> running = l.room.running();
     List<Integer> may = new ArrayList<>();
@@ -419,7 +419,7 @@
     }
     PriorityQueue<Choice> choices = new PriorityQueue<>(Choice.BEST);
     boolean all = !w.spread() && a.together < 0;
-    for (Line l : lines) {
+    for (MachineReservations l : lines) {
       if (a.left <= keep) {
         return;
       }
@@ -445,7 +445,7 @@
   }
 
   private void offerSoon(
-      Work w, Line l, long byMs, boolean orInTime, PriorityQueue<Choice> choices) {
+      Work w, MachineReservations l, long byMs, boolean orInTime, PriorityQueue<Choice> choices) {
     looks++;
     long run = w.estimateMs() + fetchMs(w, l);
     long at = l.firstFit(run, w.size());
@@ -464,7 +464,7 @@
       Offer o = s.offers().get(best);
       rentals++;
       rented[best]++;
-      Line l = new Line(o, s.nowMs());
+      MachineReservations l = new MachineReservations(o, s.nowMs());
       lines.add(l);
       full.clear();
       long at = s.nowMs() + o.bootMs();
--- a/src/main/java/dev/windbend/part/Facts.java
+++ b/src/main/java/dev/windbend/shard/Facts.java
@@ -1,4 +1,4 @@
-package dev.windbend.part;
+package dev.windbend.shard;
 
 import java.util.Arrays;
 import java.util.List;
@@ -18,8 +18,8 @@
     Aims aims) {
 
   /** Least time between an owner's writes: the owners together take half of what is allowed. */
-  long writeGapMs(int parts) {
-    return (long) (2_000.0 * parts / writeRps);
+  long writeGapMs(int shards) {
+    return (long) (2_000.0 * shards / writeRps);
   }
 
   public record TeamFact(
--- a/src/main/java/dev/windbend/part/MachineRequest.java
+++ b/src/main/java/dev/windbend/shard/MachineRequest.java
@@ -1,10 +1,10 @@
-package dev.windbend.part;
+package dev.windbend.shard;
 
 import com.fasterxml.jackson.annotation.JsonProperty;
 import dev.windbend.machine.TaskRequirements;
 
 /**
- * What a part asks of another part's owner.
+ * What a shard asks of another shard's owner.
  *
  * @param count machines that it lacks
  * @param guaranteeShare the share of its guarantee that it has; 1 or more: all of it, or the cloud
--- a/src/main/java/dev/windbend/part/Loans.java
+++ b/src/main/java/dev/windbend/shard/MachineTransfers.java
@@ -1,6 +1,6 @@
-package dev.windbend.part;
+package dev.windbend.shard;
 
-import dev.windbend.daemon.io.Loop;
+import dev.windbend.daemon.io.EventLoop;
 import dev.windbend.job.Placement;
 import dev.windbend.machine.Fleet;
 import dev.windbend.machine.Machine;
@@ -13,9 +13,9 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Machines that go from one part to another: asked for, given, promised. */
-final class Loans {
-  private static final Logger LOG = LoggerFactory.getLogger(Loans.class);
+/** Machines that go from one shard to another: asked for, given, promised. */
+final class MachineTransfers {
+  private static final Logger LOG = LoggerFactory.getLogger(MachineTransfers.class);
   private static final long ASK_GAP_MS = 2_000;
 
   private static final int MOST = 100;
@@ -26,28 +26,29 @@
    */
   private static final long VACATE_MS = 10_000;
 
-  /** A machine that came from another part stays for so long, so that none goes back and forth. */
+  /** A machine that came from another shard stays for so long, so that none goes back and forth. */
   private static final long KEEP_RECEIVED_MS = 90_000;
 
   /** Room counts as unused once no task has had it for this time. */
   private static final long WINDOW_MS = 5_000;
 
-  /** Once a machine is coming for an overdue task, no other part is asked for so long. */
+  /** Once a machine is coming for an overdue task, no other shard is asked for so long. */
   private static final long OVERDUE_GAP_MS = 20_000;
 
-  private final int part;
-  private final Loop loop;
+  private final int shard;
+  private final EventLoop loop;
   private final Fleet fleet;
   private final double guaranteedCores;
-  private final Owner.Lender lender;
+  private final ShardOwner.Lender lender;
   private final List<Machine> spare = new ArrayList<>();
   private boolean asking;
   private long lastAskMs = Long.MIN_VALUE / 2;
   private long overdueServedMs = Long.MIN_VALUE / 2;
   private long windowMs;
 
-  Loans(int part, Loop loop, Fleet fleet, double guaranteedCores, Owner.Lender lender) {
-    this.part = part;
+  MachineTransfers(
+      int shard, EventLoop loop, Fleet fleet, double guaranteedCores, ShardOwner.Lender lender) {
+    this.shard = shard;
     this.loop = loop;
     this.fleet = fleet;
     this.guaranteedCores = guaranteedCores;
@@ -74,7 +75,7 @@
   }
 
   /**
-   * Idle paid room first, of the other parts too: what they can spare need not be rented.
+   * Idle paid room first, of the other shards too: what they can spare need not be rented.
    *
    * @param overdue tasks to get room for in any case; null: none
    */
@@ -96,7 +97,7 @@
     lastAskMs = loop.nowMs();
     MachineRequest request = new MachineRequest(Math.min(MOST, count), has, overdue);
     lender.ask(
-        part,
+        shard,
         request,
         reply -> {
           asking = false;
@@ -116,9 +117,9 @@
   }
 
   /**
-   * Another part lacks machines: it gets idle ones, and, if it has less than its teams' guarantees,
-   * some of the busy ones as soon as they are empty. For an overdue task it gets one that has room
-   * for it, busy or not.
+   * Another shard lacks machines: it gets idle ones, and, if it has less than its teams'
+   * guarantees, some of the busy ones as soon as they are empty. For an overdue task it gets one
+   * that has room for it, busy or not.
    */
   MachineRequest.Reply lend(int to, MachineRequest request) {
     int count = request.count();
@@ -137,7 +138,7 @@
     int coming = given.size();
     if (request.guaranteeShare() < 1 && coming < count) {
       promise(to, count - coming, request.guaranteeShare());
-      // Those promised count as coming. Otherwise every other part would promise as many too, and
+      // Those promised count as coming. Otherwise every other shard would promise as many too, and
       // the asking one would end up with machines that it has no work for.
       coming = Math.min(count, coming + promised(to));
     }
@@ -161,15 +162,15 @@
     }
     for (Machine m : fleet.machines()) {
       if (m.vacateByMs >= 0 && now >= m.vacateByMs) {
-        m.tasks.values().forEach(Loans::stop);
+        m.tasks.values().forEach(MachineTransfers::stop);
       }
     }
   }
 
   /**
-   * Empties machines for overdue tasks: those that are promised to their part anyway, then those on
-   * which the least work is lost. Lending does not divide machines, so the tasks that are there
-   * make way. Without this a job would wait beside room that no job of this part needs.
+   * Empties machines for overdue tasks: those that are promised to their shard anyway, then those
+   * on which the least work is lost. Transfers do not divide machines, so the tasks that are there
+   * make way. Without this a job would wait beside room that no job of this shard needs.
    *
    * @return how many are coming, of up to {@code count}
    */
@@ -190,14 +191,14 @@
 
   private void vacate(Machine m, int to) {
     if (m.vacateByMs < 0) {
-      LOG.info("{} is vacated for an overdue task of part {}", m.name, to);
+      LOG.info("{} is vacated for an overdue task of shard {}", m.name, to);
       promise(m, to);
       m.vacateByMs = loop.nowMs() + VACATE_MS;
     }
   }
 
   /**
-   * It has had room for the task for a while, and this part keeps its guarantee or has room
+   * It has had room for the task for a while, and this shard keeps its guarantee or has room
    * elsewhere for what runs there.
    */
   private boolean mayVacate(Machine m, TaskRequirements task) {
@@ -226,7 +227,7 @@
   }
 
   /**
-   * To a part below its guarantee: what this part has above its own, and, to one that has hardly
+   * To a shard below its guarantee: what this shard has above its own, and, to one that has hardly
    * any of it, half of what this one has more, as parts of the guarantees.
    */
   private void promise(int to, int count, double has) {
@@ -234,7 +235,7 @@
     double up = cores(m -> m.usable(loop.nowMs()));
     double above = up - guaranteedCores;
     if (has < STARVED) {
-      // Not all guarantees can be met, so they are met alike: no part is left with nothing.
+      // Not all guarantees can be met, so they are met alike: no shard is left with nothing.
       above = Math.max(above, (up - has * guaranteedCores) / 2);
     }
     int left = count - promised(to);
@@ -242,7 +243,7 @@
     busy.sort(Comparator.comparingDouble(this::lostByStopping));
     for (Machine m : busy) {
       if (left > 0 && above >= m.type.cores() && m.usable(loop.nowMs())) {
-        LOG.info("{} is promised to part {}", m.name, to);
+        LOG.info("{} is promised to shard {}", m.name, to);
         promise(m, to);
         above -= m.type.cores();
         left--;
@@ -254,7 +255,9 @@
   private static void promise(Machine m, int to) {
     m.promisedTo = to;
     m.draining = true;
-    m.tasks.values().stream().filter(p -> p.job.spec.checkpointS() > 0).forEach(Loans::stop);
+    m.tasks.values().stream()
+        .filter(p -> p.job.spec.checkpointS() > 0)
+        .forEach(MachineTransfers::stop);
   }
 
   private static void stop(Placement p) {
--- a/src/main/java/dev/windbend/part/OldestWait.java
+++ b/src/main/java/dev/windbend/shard/OldestWaitingJob.java
@@ -1,16 +1,17 @@
-package dev.windbend.part;
+package dev.windbend.shard;
 
-import dev.windbend.job.Board;
 import dev.windbend.job.Job;
+import dev.windbend.job.JobRegistry;
 import dev.windbend.job.Placement;
 import dev.windbend.machine.Fleet;
 import dev.windbend.machine.Machine;
 
-/** Which job of a part has waited longest for room, and what for: told to operators. */
-record OldestWait(String uid, long ageS, String reason) {
+/** Which job of a shard has waited longest for room, and what for: told to operators. */
+record OldestWaitingJob(String uid, long ageS, String reason) {
 
   /** Null: none waits. */
-  static OldestWait find(Board board, Fleet fleet, Facts facts, long nowMs, long wallMs) {
+  static OldestWaitingJob find(
+      JobRegistry board, Fleet fleet, Facts facts, long nowMs, long wallMs) {
     Job oldest = null;
     for (Job j : board.all()) {
       if (j.waitingCount() > 0 && (oldest == null || j.submittedWallMs < oldest.submittedWallMs)) {
@@ -41,7 +42,7 @@
     boolean atLimit =
         used + oldest.spec.cores() > team.coresMost() + 1e-6
             || usedCards + oldest.spec.cards() > team.cardsMost() + 1e-6;
-    return new OldestWait(
+    return new OldestWaitingJob(
         oldest.spec.uid(),
         (wallMs - oldest.submittedWallMs) / 1000,
         reason(
--- a/src/main/java/dev/windbend/part/Policy.java
+++ b/src/main/java/dev/windbend/shard/Policy.java
@@ -1,4 +1,4 @@
-package dev.windbend.part;
+package dev.windbend.shard;
 
 /** The design's numbers; operators may set them. */
 public record Policy(
--- a/src/main/java/dev/windbend/part/Rounds.java
+++ b/src/main/java/dev/windbend/shard/SchedulingLoop.java
@@ -1,14 +1,14 @@
-package dev.windbend.part;
+package dev.windbend.shard;
 
-import dev.windbend.daemon.io.Loop;
+import dev.windbend.daemon.io.EventLoop;
 import dev.windbend.daemon.io.Names;
-import dev.windbend.job.Board;
 import dev.windbend.job.Job;
+import dev.windbend.job.JobRegistry;
 import dev.windbend.job.Placement;
-import dev.windbend.machine.Catalog;
 import dev.windbend.machine.Fleet;
 import dev.windbend.machine.Machine;
 import dev.windbend.machine.MachineType;
+import dev.windbend.machine.MachineTypeCatalog;
 import dev.windbend.machine.TaskRequirements;
 import dev.windbend.plan.Deadlines;
 import dev.windbend.plan.Estimates;
@@ -28,9 +28,9 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** A part's planning rounds: what is goes into a snapshot, and what it wants is carried out. */
-final class Rounds {
-  private static final Logger LOG = LoggerFactory.getLogger(Rounds.class);
+/** A shard's planning rounds: what is goes into a snapshot, and what it wants is carried out. */
+final class SchedulingLoop {
+  private static final Logger LOG = LoggerFactory.getLogger(SchedulingLoop.class);
   private static final long GAP_MS = 150;
   private static final long LONGEST_GAP_MS = 2_000;
 
@@ -50,20 +50,20 @@
   private static final double BOOT_LATE = 1.5;
 
   /**
-   * Operators want no job to wait for 90 s beside room that it could have, on whatever part's
+   * Operators want no job to wait for 90 s beside room that it could have, on whatever shard's
    * machine. A job that stalls for half of that time is overdue.
    */
   private static final long OVERDUE_MS = 45_000;
 
-  private final Loop loop;
-  private final Catalog catalog;
+  private final EventLoop loop;
+  private final MachineTypeCatalog catalog;
   private final Facts facts;
   private final Policy policy;
   private final Estimates estimates;
   private final Names images;
-  private final Board board;
+  private final JobRegistry board;
   private final Fleet fleet;
-  private final Loans loans;
+  private final MachineTransfers loans;
   private final long token;
   private final BooleanSupplier mayAct;
   private long lastMs;
@@ -72,16 +72,16 @@
   private long count;
   private boolean due;
 
-  Rounds(
-      Loop loop,
-      Catalog catalog,
+  SchedulingLoop(
+      EventLoop loop,
+      MachineTypeCatalog catalog,
       Facts facts,
       Policy policy,
       Estimates estimates,
       Names images,
-      Board board,
+      JobRegistry board,
       Fleet fleet,
-      Loans loans,
+      MachineTransfers loans,
       long token,
       BooleanSupplier mayAct) {
     this.token = token;
@@ -219,7 +219,7 @@
     return job.waitingCount() > 0 && job.notBeforeMs <= now && job.stalledMs(now) >= OVERDUE_MS;
   }
 
-  /** One task of each overdue job that no machine of this part has room for; null: none. */
+  /** One task of each overdue job that no machine of this shard has room for; null: none. */
   private MachineRequest.Overdue overdueTasks(List<Job> jobs, long now) {
     Job longest = null;
     double cores = 0;
--- a/src/main/java/dev/windbend/part/PartLog.java
+++ b/src/main/java/dev/windbend/shard/ShardLog.java
@@ -1,39 +1,39 @@
-package dev.windbend.part;
+package dev.windbend.shard;
 
-import dev.windbend.daemon.io.Loop;
-import dev.windbend.job.Board;
+import dev.windbend.daemon.io.EventLoop;
 import dev.windbend.job.Job;
+import dev.windbend.job.JobRegistry;
 import dev.windbend.machine.Fleet;
 import dev.windbend.machine.Machine;
-import dev.windbend.store.Pages;
+import dev.windbend.store.PagedStore;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Tells operators once a period how a part stands, and what its oldest waiting job waits for. */
-final class PartLog {
-  private static final Logger LOG = LoggerFactory.getLogger(PartLog.class);
+/** Tells operators once a period how a shard stands, and what its oldest waiting job waits for. */
+final class ShardLog {
+  private static final Logger LOG = LoggerFactory.getLogger(ShardLog.class);
 
-  private final int part;
-  private final Loop loop;
-  private final Board board;
+  private final int shard;
+  private final EventLoop loop;
+  private final JobRegistry board;
   private final Fleet fleet;
   private final Facts facts;
   private final long periodMs;
-  private final Rounds rounds;
-  private final Pages pages;
+  private final SchedulingLoop rounds;
+  private final PagedStore pages;
   private long toldMs;
   private int oldestWaitS;
 
-  PartLog(
-      int part,
-      Loop loop,
-      Board board,
+  ShardLog(
+      int shard,
+      EventLoop loop,
+      JobRegistry board,
       Fleet fleet,
       Facts facts,
       long periodMs,
-      Rounds rounds,
-      Pages pages) {
-    this.part = part;
+      SchedulingLoop rounds,
+      PagedStore pages) {
+    this.shard = shard;
     this.loop = loop;
     this.board = board;
     this.fleet = fleet;
@@ -60,8 +60,8 @@
   void unsure(long now, long storeFailsMs) {
     if (due(now)) {
       LOG.info(
-          "part {}: nothing is placed, the hold is not sure; no answer of the state service for {} s",
-          part,
+          "shard {}: nothing is placed, the hold is not sure; no answer of the state service for {} s",
+          shard,
           storeFailsMs / 1000);
     }
   }
@@ -86,9 +86,9 @@
       unsure += m.seenMs >= 0 && !m.usable(now) ? 1 : 0;
     }
     LOG.info(
-        "part {}: {} jobs, cores waiting {} placed {}; machines up {} booting {} other {};"
+        "shard {}: {} jobs, cores waiting {} placed {}; machines up {} booting {} other {};"
             + " round {} ms, pages {}",
-        part,
+        shard,
         board.all().size(),
         Math.round(waiting),
         Math.round(placed),
@@ -97,11 +97,15 @@
         unsure,
         rounds.costMs(),
         pages.used());
-    OldestWait oldest = OldestWait.find(board, fleet, facts, now, loop.wallMs());
+    OldestWaitingJob oldest = OldestWaitingJob.find(board, fleet, facts, now, loop.wallMs());
     oldestWaitS = oldest == null ? 0 : (int) oldest.ageS();
     if (oldest != null) {
       LOG.info(
-          "part {}: {} waits, {} s old, for {}", part, oldest.uid(), oldestWaitS, oldest.reason());
+          "shard {}: {} waits, {} s old, for {}",
+          shard,
+          oldest.uid(),
+          oldestWaitS,
+          oldest.reason());
     }
   }
 }
--- a/src/main/java/dev/windbend/part/Owner.java
+++ b/src/main/java/dev/windbend/shard/ShardOwner.java
@@ -1,35 +1,35 @@
-package dev.windbend.part;
+package dev.windbend.shard;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import dev.windbend.daemon.io.EventLoop;
 import dev.windbend.daemon.io.Json;
-import dev.windbend.daemon.io.Loop;
 import dev.windbend.daemon.io.Names;
 import dev.windbend.daemon.io.Web;
-import dev.windbend.job.Board;
 import dev.windbend.job.Cancellations;
 import dev.windbend.job.Job;
 import dev.windbend.job.JobRecord;
+import dev.windbend.job.JobRegistry;
 import dev.windbend.job.Placement;
-import dev.windbend.machine.Catalog;
 import dev.windbend.machine.CloudClient;
-import dev.windbend.machine.Directory;
 import dev.windbend.machine.Fleet;
-import dev.windbend.machine.HireRecord;
 import dev.windbend.machine.Machine;
-import dev.windbend.machine.Stray;
-import dev.windbend.machine.Strays;
-import dev.windbend.machine.Watch;
+import dev.windbend.machine.MachineHealth;
+import dev.windbend.machine.MachineIndex;
+import dev.windbend.machine.MachineTypeCatalog;
+import dev.windbend.machine.RentalRecord;
+import dev.windbend.machine.UnknownMachine;
+import dev.windbend.machine.UnknownMachines;
 import dev.windbend.peer.Peers;
 import dev.windbend.plan.Estimates;
 import dev.windbend.store.Committer;
-import dev.windbend.store.Pages;
+import dev.windbend.store.PagedStore;
+import dev.windbend.store.PendingWrite;
 import dev.windbend.store.Replica;
 import dev.windbend.store.StoreClient;
-import dev.windbend.store.Stored;
-import dev.windbend.store.Unit;
-import dev.windbend.worker.DirectStops;
-import dev.windbend.worker.Reports;
-import dev.windbend.worker.WorkerDesk;
+import dev.windbend.store.VersionedValue;
+import dev.windbend.worker.DirectStopClient;
+import dev.windbend.worker.ReportHandler;
+import dev.windbend.worker.TaskReconciler;
 import dev.windbend.worker.WorkerMessages;
 import java.util.Collections;
 import java.util.List;
@@ -40,41 +40,41 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * One owned part: its live jobs and machines, rebuilt from the records when it is won, and the
+ * One owned shard: its live jobs and machines, rebuilt from the records when it is won, and the
  * loops that look after them. It acts only while the claim is surely held.
  */
-public final class Owner implements WorkerDesk.Book, Fleet.Host, Reports.Host {
-  private static final Logger LOG = LoggerFactory.getLogger(Owner.class);
+public final class ShardOwner implements TaskReconciler.Book, Fleet.Host, ReportHandler.Host {
+  private static final Logger LOG = LoggerFactory.getLogger(ShardOwner.class);
   private static final long TICK_MS = 500;
   private static final int BAD_JOBS = 2;
   private static final int BAD_MACHINES = 3;
   private static final long BACK_OFF_MS = 5_000;
   private static final int BACK_OFF_DOUBLINGS = 4;
 
-  private final int part;
+  private final int shard;
   private final long token;
-  private final Loop loop;
+  private final EventLoop loop;
   private final StoreClient store;
   private final Replica replica;
-  private final Catalog catalog;
-  private final Directory directory;
+  private final MachineTypeCatalog catalog;
+  private final MachineIndex directory;
   private final Facts facts;
   private final Policy policy;
-  private final Claims claims;
+  private final ShardOwnership claims;
   private final Peers peers;
   private final Cancellations cancellations;
   private final Estimates estimates;
   private final Names images;
   private final Committer committer;
-  private final Pages pages;
-  private final Board board;
+  private final PagedStore pages;
+  private final JobRegistry board;
   private final Fleet fleet;
-  private final Strays strays;
-  private final Watch watch;
-  private final Loans loans;
-  private final Rounds rounds;
-  private final Reports reports;
-  private final PartLog log;
+  private final UnknownMachines strays;
+  private final MachineHealth watch;
+  private final MachineTransfers loans;
+  private final SchedulingLoop rounds;
+  private final ReportHandler reports;
+  private final ShardLog log;
   private boolean ready;
   private boolean closed;
   private boolean checkedInherited;
@@ -82,32 +82,32 @@
   private long lastCheckMs;
   private long sureSinceMs = -1;
 
-  /** Asks the other parts' owners for machines; hands what is coming. */
+  /** Asks the other shards' owners for machines; hands what is coming. */
   public interface Lender {
-    void ask(int part, MachineRequest request, Consumer<MachineRequest.Reply> done);
+    void ask(int shard, MachineRequest request, Consumer<MachineRequest.Reply> done);
   }
 
-  /** What all parts of a node share. */
+  /** What all shards of a node share. */
   public record Shared(
-      Loop loop,
+      EventLoop loop,
       StoreClient store,
       CloudClient cloud,
       Replica replica,
-      Layout layout,
-      Catalog catalog,
-      Directory directory,
+      ShardLayout layout,
+      MachineTypeCatalog catalog,
+      MachineIndex directory,
       Facts facts,
       Policy policy,
-      Claims claims,
+      ShardOwnership claims,
       Peers peers,
       Cancellations cancellations,
-      DirectStops directStops,
+      DirectStopClient directStops,
       Estimates estimates,
       Names images,
       Lender lender) {}
 
-  public Owner(int part, long token, Shared with) {
-    this.part = part;
+  public ShardOwner(int shard, long token, Shared with) {
+    this.shard = shard;
     this.token = token;
     this.loop = with.loop;
     this.store = with.store;
@@ -125,19 +125,20 @@
         new Committer(
             loop,
             with.store,
-            Claims.key(part),
+            ShardOwnership.key(shard),
             token,
-            facts.writeGapMs(with.layout.parts()),
-            () -> claims.lose(part),
+            facts.writeGapMs(with.layout.shards()),
+            () -> claims.lose(shard),
             this::afterWrite);
-    this.pages = new Pages(JobRecord.pages(part), facts.valueBytes(), with.store.opsLimit());
-    this.board = new Board(name -> teamHere(with.layout, name), committer, pages);
-    this.fleet = new Fleet(loop, with.cloud, catalog, part, token, this);
-    this.strays = new Strays(loop, with.store, fleet, with.layout.parts());
-    this.watch = new Watch(fleet, catalog.zones.size(), facts.reportS(), facts.leaseS());
-    this.loans = new Loans(part, loop, fleet, guaranteedCores(with.layout), with.lender);
+    this.pages = new PagedStore(JobRecord.pages(shard), facts.valueBytes(), with.store.opsLimit());
+    this.board = new JobRegistry(name -> teamHere(with.layout, name), committer, pages);
+    this.fleet = new Fleet(loop, with.cloud, catalog, shard, token, this);
+    this.strays = new UnknownMachines(loop, with.store, fleet, with.layout.shards());
+    this.watch = new MachineHealth(fleet, catalog.zones.size(), facts.reportS(), facts.leaseS());
+    this.loans =
+        new MachineTransfers(shard, loop, fleet, guaranteedCores(with.layout), with.lender);
     this.rounds =
-        new Rounds(
+        new SchedulingLoop(
             loop,
             catalog,
             facts,
@@ -150,28 +151,28 @@
             token,
             this::mayAct);
     this.reports =
-        new Reports(
+        new ReportHandler(
             loop,
             fleet,
-            new WorkerDesk(this),
+            new TaskReconciler(this),
             with.directStops,
             this,
             token,
             facts.reportS(),
             facts.leaseS(),
             policy.idleHold());
-    this.log = new PartLog(part, loop, board, fleet, facts, policy.periodMs(), rounds, pages);
+    this.log = new ShardLog(shard, loop, board, fleet, facts, policy.periodMs(), rounds, pages);
   }
 
-  private int teamHere(Layout layout, String name) {
+  private int teamHere(ShardLayout layout, String name) {
     int team = layout.team(name);
-    return team >= 0 && layout.partOf(team) == part ? team : -1;
+    return team >= 0 && layout.shardOf(team) == shard ? team : -1;
   }
 
-  private double guaranteedCores(Layout layout) {
+  private double guaranteedCores(ShardLayout layout) {
     double all = 0;
     for (int i = 0; i < facts.teams().size(); i++) {
-      all += layout.partOf(i) == part ? facts.teams().get(i).cores() : 0;
+      all += layout.shardOf(i) == shard ? facts.teams().get(i).cores() : 0;
     }
     return all;
   }
@@ -186,19 +187,19 @@
       return;
     }
     long now = loop.nowMs();
-    String hires = HireRecord.prefix(part);
-    for (Map.Entry<String, Stored> e : replica.below(hires).entrySet()) {
+    String hires = RentalRecord.prefix(shard);
+    for (Map.Entry<String, VersionedValue> e : replica.below(hires).entrySet()) {
       hire(e.getKey().substring(hires.length()), e.getValue());
     }
-    SortedMap<String, JsonNode> left = pages.restore(replica.below(JobRecord.pages(part)));
-    for (Map.Entry<String, Stored> e : replica.below(JobRecord.LIVE).entrySet()) {
+    SortedMap<String, JsonNode> left = pages.restore(replica.below(JobRecord.pages(shard)));
+    for (Map.Entry<String, VersionedValue> e : replica.below(JobRecord.LIVE).entrySet()) {
       take(e.getValue(), left, now);
     }
     pages.allRestored();
     ready = true;
     LOG.info(
-        "part {} taken over with token {}: {} jobs, {} machines",
-        part,
+        "shard {} taken over with token {}: {} jobs, {} machines",
+        shard,
         token,
         board.all().size(),
         fleet.machines().size());
@@ -234,7 +235,7 @@
 
   // ---- jobs
 
-  private boolean take(Stored s, SortedMap<String, JsonNode> left, long now) {
+  private boolean take(VersionedValue s, SortedMap<String, JsonNode> left, long now) {
     Job job = board.take(s, left, now);
     if (job == null) {
       return false;
@@ -256,7 +257,7 @@
   }
 
   /** A live job's record has changed in the state service. */
-  public void jobChanged(String uid, Stored now) {
+  public void jobChanged(String uid, VersionedValue now) {
     if (!ready()) {
       return;
     }
@@ -314,17 +315,17 @@
 
   // ---- machines
 
-  /** A record of machines has changed: another part may have given us some. */
-  public void hireChanged(String key, Stored now) {
-    String hires = HireRecord.prefix(part);
+  /** A record of machines has changed: another shard may have given us some. */
+  public void hireChanged(String key, VersionedValue now) {
+    String hires = RentalRecord.prefix(shard);
     if (ready() && now != null && key.startsWith(hires)) {
       hire(key.substring(hires.length()), now);
       rounds.want();
     }
   }
 
-  private void hire(String name, Stored s) {
-    HireRecord r = Json.read(s.value(), HireRecord.class);
+  private void hire(String name, VersionedValue s) {
+    RentalRecord r = Json.read(s.value(), RentalRecord.class);
     if (r != null) {
       fleet.restore(name, r, s.version(), directory, !ready);
     }
@@ -334,10 +335,10 @@
     return fleet.find(machine) != null;
   }
 
-  /** A machine that no part knows; only the first part's owner takes them in. */
+  /** A machine that no shard knows; only the first shard's owner takes them in. */
   public void stray(WorkerMessages.Report r) {
     if (ready() && mayAct()) {
-      strays.note(r.machine(), new Stray(r.type(), r.zone(), r.spot()));
+      strays.note(r.machine(), new UnknownMachine(r.type(), r.zone(), r.spot()));
     }
   }
 
@@ -345,7 +346,7 @@
     reports.report(r, done);
   }
 
-  /** Lends to another part; says what is coming. */
+  /** Lends to another shard; says what is coming. */
   public MachineRequest.Reply lend(int to, MachineRequest request) {
     return mayAct() ? loans.lend(to, request) : MachineRequest.Reply.NOTHING;
   }
@@ -371,7 +372,7 @@
   @Override
   public void completed(Placement p, long nowMs) {
     if (p.runningMs >= 0) {
-      estimates.finished(Rounds.user(p.job), (nowMs - p.runningMs) / 1000.0);
+      estimates.finished(SchedulingLoop.user(p.job), (nowMs - p.runningMs) / 1000.0);
     }
   }
 
@@ -417,7 +418,7 @@
   }
 
   @Override
-  public void touch(Unit unit) {
+  public void touch(PendingWrite unit) {
     committer.touch(unit);
   }
 
@@ -449,7 +450,7 @@
 
   @Override
   public boolean mayAct() {
-    return ready() && claims.owns(part) && claims.surelyHeld();
+    return ready() && claims.owns(shard) && claims.surelyHeld();
   }
 
   @Override
@@ -475,7 +476,7 @@
         sureSinceMs = now;
       }
       if (watch.lostWorkers(now, Math.max(sureSinceMs, claims.heardMs()))) {
-        claims.leaveToOthers(part);
+        claims.leaveToOthers(shard);
       }
       watch.look(now, sureSinceMs);
       for (Job job : board.all()) {
@@ -492,7 +493,7 @@
         checkedInherited = true;
         fleet.checkInherited();
       }
-      if (part == 0 && now - lastCheckMs >= 2_000 * facts.listLagS()) {
+      if (shard == 0 && now - lastCheckMs >= 2_000 * facts.listLagS()) {
         lastCheckMs = now;
         fleet.check((long) (8_000 * facts.listLagS()), directory::knows, strays::note);
       }
--- a/src/main/java/dev/windbend/part/Claims.java
+++ b/src/main/java/dev/windbend/shard/ShardOwnership.java
@@ -1,22 +1,22 @@
-package dev.windbend.part;
+package dev.windbend.shard;
 
 import com.fasterxml.jackson.annotation.JsonProperty;
+import dev.windbend.daemon.io.EventLoop;
 import dev.windbend.daemon.io.Json;
-import dev.windbend.daemon.io.Loop;
-import dev.windbend.store.Draft;
 import dev.windbend.store.Replica;
 import dev.windbend.store.StoreClient;
-import dev.windbend.store.Stored;
+import dev.windbend.store.TransactionBuilder;
+import dev.windbend.store.VersionedValue;
 import java.util.Arrays;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * Who owns which part. A claim is a key under the node's hold; its version is the token that fences
- * every owner's orders and writes.
+ * Who owns which shard. A claim is a key under the node's hold; its version is the token that
+ * fences every owner's orders and writes.
  */
-public final class Claims {
-  private static final Logger LOG = LoggerFactory.getLogger(Claims.class);
+public final class ShardOwnership {
+  private static final Logger LOG = LoggerFactory.getLogger(ShardOwnership.class);
   public static final String KEYS = "w/c/";
 
   /** Clocks may run this much apart; twice the allowed drift, to be safe. */
@@ -27,10 +27,10 @@
   private static final long RANK_PAUSE_MS = 600;
   private static final long LOAD_PAUSE_MS = 900;
 
-  private final Loop loop;
+  private final EventLoop loop;
   private final StoreClient store;
   private final Replica replica;
-  private final Layout layout;
+  private final ShardLayout layout;
   private final String me;
   private final long lifeMs;
   private final long leaseMs;
@@ -44,20 +44,20 @@
   private long heardMs = Long.MIN_VALUE / 2;
   private long leftMs = Long.MIN_VALUE / 2;
 
-  /** Told when this node gains or loses a part. */
+  /** Told when this node gains or loses a shard. */
   public interface Listener {
-    void won(int part, long token);
+    void won(int shard, long token);
 
-    void lost(int part);
+    void lost(int shard);
   }
 
   record Claim(@JsonProperty("owner") String owner) {}
 
-  public Claims(
-      Loop loop,
+  public ShardOwnership(
+      EventLoop loop,
       StoreClient store,
       Replica replica,
-      Layout layout,
+      ShardLayout layout,
       String me,
       long lifeMs,
       long leaseMs,
@@ -70,9 +70,9 @@
     this.lifeMs = lifeMs;
     this.leaseMs = leaseMs;
     this.listener = listener;
-    this.tokens = new long[layout.parts()];
-    this.freeSince = new long[layout.parts()];
-    this.claiming = new boolean[layout.parts()];
+    this.tokens = new long[layout.shards()];
+    this.freeSince = new long[layout.shards()];
+    this.claiming = new boolean[layout.shards()];
     Arrays.fill(freeSince, -1);
   }
 
@@ -81,8 +81,8 @@
     step();
   }
 
-  static String key(int part) {
-    return KEYS + part;
+  static String key(int shard) {
+    return KEYS + shard;
   }
 
   /** Our hold can't have ended, whatever the clocks do. */
@@ -90,13 +90,13 @@
     return loop.nowMs() < validUntilMs;
   }
 
-  public boolean owns(int part) {
-    return tokens[part] > 0;
+  public boolean owns(int shard) {
+    return tokens[shard] > 0;
   }
 
   /** The owner as far as this node knows; null: nobody. */
-  public String owner(int part) {
-    Stored s = replica.get(key(part));
+  public String owner(int shard) {
+    VersionedValue s = replica.get(key(shard));
     Claim c = s == null ? null : Json.read(s.value(), Claim.class);
     return c == null ? null : c.owner();
   }
@@ -161,25 +161,25 @@
   }
 
   /** Called by an owner whose write failed on its claim. */
-  public void lose(int part) {
-    if (tokens[part] > 0) {
-      tokens[part] = 0;
-      LOG.warn("part {} lost", part);
-      listener.lost(part);
+  public void lose(int shard) {
+    if (tokens[shard] > 0) {
+      tokens[shard] = 0;
+      LOG.warn("shard {} lost", shard);
+      listener.lost(shard);
     }
   }
 
   /**
    * Our workers do not reach us, though the state service does: another node may be reached, so it
-   * gets the part. We claim none until a worker is heard again, or for a lease.
+   * gets the shard. We claim none until a worker is heard again, or for a lease.
    */
-  public void leaveToOthers(int part) {
-    long token = tokens[part];
+  public void leaveToOthers(int shard) {
+    long token = tokens[shard];
     if (token > 0 && layout.nodes() > 1) {
-      LOG.warn("part {} is left to others: no worker reaches us", part);
+      LOG.warn("shard {} is left to others: no worker reaches us", shard);
       leftMs = loop.nowMs();
-      lose(part);
-      release(part, token);
+      lose(shard);
+      release(shard, token);
     }
   }
 
@@ -192,10 +192,11 @@
     heardMs = loop.nowMs();
   }
 
-  private void release(int part, long version) {
-    claiming[part] = true;
+  private void release(int shard, long version) {
+    claiming[shard] = true;
     store.commit(
-        new Draft().when(key(part), version).delete(key(part)), outcome -> claiming[part] = false);
+        new TransactionBuilder().when(key(shard), version).delete(key(shard)),
+        outcome -> claiming[shard] = false);
   }
 
   private void step() {
@@ -207,55 +208,55 @@
     loop.after(STEP_MS, this::step);
   }
 
-  private void step(int part) {
-    Stored s = replica.get(key(part));
-    if (tokens[part] > 0) {
-      boolean mine = s != null && s.version() == tokens[part];
-      if (!mine && replica.revision() >= tokens[part]) {
-        lose(part);
+  private void step(int shard) {
+    VersionedValue s = replica.get(key(shard));
+    if (tokens[shard] > 0) {
+      boolean mine = s != null && s.version() == tokens[shard];
+      if (!mine && replica.revision() >= tokens[shard]) {
+        lose(shard);
       }
       return;
     }
-    if (claiming[part] || hold < 0 || !surelyHeld()) {
+    if (claiming[shard] || hold < 0 || !surelyHeld()) {
       return;
     }
     if (loop.nowMs() - leftMs < leaseMs && heardMs <= leftMs) {
-      freeSince[part] = -1;
-      if (s != null && me.equals(owner(part))) {
-        release(part, s.version());
+      freeSince[shard] = -1;
+      if (s != null && me.equals(owner(shard))) {
+        release(shard, s.version());
       }
       return;
     }
     if (s != null) {
-      freeSince[part] = -1;
-      if (me.equals(owner(part))) {
+      freeSince[shard] = -1;
+      if (me.equals(owner(shard))) {
         // Ours from a former life, or from an answer that never came: retaken at once.
-        claim(part, s.version());
+        claim(shard, s.version());
       }
       return;
     }
     long now = loop.nowMs();
-    if (freeSince[part] < 0) {
-      freeSince[part] = now;
+    if (freeSince[shard] < 0) {
+      freeSince[shard] = now;
     }
-    long pause = RANK_PAUSE_MS * layout.rank(part, me) + LOAD_PAUSE_MS * owned();
-    if (now - freeSince[part] >= pause) {
-      claim(part, 0);
+    long pause = RANK_PAUSE_MS * layout.rank(shard, me) + LOAD_PAUSE_MS * owned();
+    if (now - freeSince[shard] >= pause) {
+      claim(shard, 0);
     }
   }
 
-  private void claim(int part, long version) {
-    claiming[part] = true;
+  private void claim(int shard, long version) {
+    claiming[shard] = true;
     long id = hold;
     store.commit(
-        new Draft().when(key(part), version).putHeld(key(part), new Claim(me), id),
+        new TransactionBuilder().when(key(shard), version).putHeld(key(shard), new Claim(me), id),
         outcome -> {
-          claiming[part] = false;
-          freeSince[part] = -1;
+          claiming[shard] = false;
+          freeSince[shard] = -1;
           if (outcome.done() && hold == id) {
-            tokens[part] = outcome.revision();
-            LOG.info("part {} won with token {}", part, tokens[part]);
-            listener.won(part, tokens[part]);
+            tokens[shard] = outcome.revision();
+            LOG.info("shard {} won with token {}", shard, tokens[shard]);
+            listener.won(shard, tokens[shard]);
           }
         });
   }
--- a/src/main/java/dev/windbend/store/Committer.java
+++ b/src/main/java/dev/windbend/store/Committer.java
@@ -1,6 +1,6 @@
 package dev.windbend.store;
 
-import dev.windbend.daemon.io.Loop;
+import dev.windbend.daemon.io.EventLoop;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -10,31 +10,31 @@
 
 /**
  * Writes changed units in groups, urgent ones first, one transaction at a time, each on condition
- * that the guard (the part's claim) is unchanged.
+ * that the guard (the shard's claim) is unchanged.
  */
 public final class Committer {
   private static final Logger LOG = LoggerFactory.getLogger(Committer.class);
 
   private static final long AGAIN_MS = 300;
 
-  /** Each change of a large write takes this part of the usual pause. */
+  /** Each change of a large write takes this fraction of the usual pause. */
   private static final double GAP_A_CHANGE = 0.6;
 
-  private final Loop loop;
+  private final EventLoop loop;
   private final StoreClient store;
   private final String guardKey;
   private final long guardVersion;
   private final Runnable lost;
   private final Runnable after;
   private final long gapMs;
-  private final LinkedHashSet<Unit> changed = new LinkedHashSet<>();
+  private final LinkedHashSet<PendingWrite> changed = new LinkedHashSet<>();
   private boolean busy;
   private boolean closed;
   private boolean scheduled;
   private long notBeforeMs;
 
   public Committer(
-      Loop loop,
+      EventLoop loop,
       StoreClient store,
       String guardKey,
       long guardVersion,
@@ -55,7 +55,7 @@
   }
 
   /** Says that the unit has changed; the write follows. */
-  public void touch(Unit unit) {
+  public void touch(PendingWrite unit) {
     changed.add(unit);
     later(0);
   }
@@ -82,10 +82,10 @@
       later(notBeforeMs - now);
       return;
     }
-    List<Unit> batch = new ArrayList<>();
-    Draft draft = new Draft().when(guardKey, guardVersion);
+    List<PendingWrite> batch = new ArrayList<>();
+    TransactionBuilder draft = new TransactionBuilder().when(guardKey, guardVersion);
     boolean urgent = false;
-    for (Unit u : changed) {
+    for (PendingWrite u : changed) {
       urgent |= u.dirty() && u.urgent(now);
     }
     if (!urgent) {
@@ -93,7 +93,7 @@
       return;
     }
     for (int pass = 0; pass < 2; pass++) {
-      for (Unit u : changed) {
+      for (PendingWrite u : changed) {
         if (u.dirty()
             && u.urgent(now) == (pass == 0)
             && (draft.size() == 0 || draft.size() + u.cost() <= store.opsLimit())
@@ -110,13 +110,13 @@
     store.commit(draft, outcome -> settle(batch, outcome));
   }
 
-  private void settle(List<Unit> batch, Outcome outcome) {
+  private void settle(List<PendingWrite> batch, Outcome outcome) {
     busy = false;
     if (closed) {
       return;
     }
     if (outcome.done()) {
-      for (Unit u : batch) {
+      for (PendingWrite u : batch) {
         u.written(outcome.revision());
         if (u.dirty()) {
           changed.add(u);
@@ -126,7 +126,7 @@
       run();
       return;
     }
-    for (Unit u : batch) {
+    for (PendingWrite u : batch) {
       u.unwritten();
       changed.add(u);
     }
@@ -146,7 +146,7 @@
     reread(batch, outcome.failed());
   }
 
-  private void reread(List<Unit> batch, List<String> failed) {
+  private void reread(List<PendingWrite> batch, List<String> failed) {
     busy = true;
     Set<String> open = new LinkedHashSet<>(failed);
     boolean[] sure = {true};
@@ -155,7 +155,7 @@
           key,
           got -> {
             if (got.sure() && !closed) {
-              for (Unit u : batch) {
+              for (PendingWrite u : batch) {
                 if (u.owns(key)) {
                   u.reread(key, got.stored());
                 }
--- a/src/main/java/dev/windbend/store/Entry.java
+++ b/src/main/java/dev/windbend/store/PageEntry.java
@@ -1,8 +1,8 @@
 package dev.windbend.store;
 
 /** Something small that an owner keeps in the state service; many of them share a page. */
-public interface Entry {
-  /** Unique within the part. */
+public interface PageEntry {
+  /** Unique within the shard. */
   String id();
 
   /** Has changes that are not being written right now. */
@@ -18,7 +18,7 @@
   Object snapshot();
 
   /** Adds what must still hold, and remembers what is under way. */
-  void begin(Draft draft);
+  void begin(TransactionBuilder draft);
 
   /** The write was applied. */
   void written();
@@ -30,5 +30,5 @@
   boolean dependsOn(String key);
 
   /** A condition failed; this is what the key holds (null: gone). */
-  void reread(Stored now);
+  void reread(VersionedValue now);
 }
--- a/src/main/java/dev/windbend/store/Pages.java
+++ b/src/main/java/dev/windbend/store/PagedStore.java
@@ -17,7 +17,7 @@
  * together to a page of which nothing counts any more, and if there is room they take the rest of
  * the emptiest page with them, so that pages become free again.
  */
-public final class Pages implements Unit {
+public final class PagedStore implements PendingWrite {
   /** Left free in a page, for the punctuation around entries. */
   private static final int SPARE_BYTES = 256;
 
@@ -28,9 +28,9 @@
   private final String prefix;
   private final int pageBytes;
   private final int ops;
-  private final LinkedHashSet<Entry> changed = new LinkedHashSet<>();
+  private final LinkedHashSet<PageEntry> changed = new LinkedHashSet<>();
   private final List<Slot> slots = new ArrayList<>();
-  private final Map<Entry, Slot> homes = new HashMap<>();
+  private final Map<PageEntry, Slot> homes = new HashMap<>();
   private final Map<String, Slot> found = new HashMap<>();
   private final List<Slot> writing = new ArrayList<>();
   private int nextSlot;
@@ -46,9 +46,9 @@
 
   private static final class Slot {
     final String key;
-    final LinkedHashSet<Entry> live = new LinkedHashSet<>();
+    final LinkedHashSet<PageEntry> live = new LinkedHashSet<>();
     final Map<String, JsonNode> content = new TreeMap<>();
-    final List<Entry> carried = new ArrayList<>();
+    final List<PageEntry> carried = new ArrayList<>();
     long version;
     int bytes;
 
@@ -58,16 +58,16 @@
     }
   }
 
-  public Pages(String prefix, int valueBytes, int ops) {
+  public PagedStore(String prefix, int valueBytes, int ops) {
     this.prefix = prefix;
     this.pageBytes = valueBytes - SPARE_BYTES;
     this.ops = ops;
   }
 
   /** Reads what a former owner left; hands the newest copy of each entry by its id. */
-  public SortedMap<String, JsonNode> restore(Map<String, Stored> stored) {
+  public SortedMap<String, JsonNode> restore(Map<String, VersionedValue> stored) {
     SortedMap<String, JsonNode> newest = new TreeMap<>();
-    for (Map.Entry<String, Stored> s : stored.entrySet()) {
+    for (Map.Entry<String, VersionedValue> s : stored.entrySet()) {
       Slot slot = new Slot(s.getKey(), s.getValue().version());
       slots.add(slot);
       nextSlot = Math.max(nextSlot, number(s.getKey()) + 1);
@@ -97,7 +97,7 @@
   }
 
   /** This entry was made from what {@link #restore} found. */
-  public void restored(Entry e) {
+  public void restored(PageEntry e) {
     Slot slot = found.remove(e.id());
     if (slot != null) {
       homes.put(e, slot);
@@ -110,7 +110,7 @@
     found.clear();
   }
 
-  public void touch(Entry e) {
+  public void touch(PageEntry e) {
     changed.add(e);
   }
 
@@ -125,7 +125,7 @@
 
   @Override
   public boolean urgent(long nowMs) {
-    for (Entry e : changed) {
+    for (PageEntry e : changed) {
       if (e.dirty() && e.urgent(nowMs)) {
         return true;
       }
@@ -139,17 +139,17 @@
   }
 
   @Override
-  public void fill(Draft draft) {
+  public void fill(TransactionBuilder draft) {
     int most = Math.max(1, Math.min(MOST_PAGES, ops - draft.size()));
-    List<Entry> order = new ArrayList<>();
-    for (Entry e : changed) {
+    List<PageEntry> order = new ArrayList<>();
+    for (PageEntry e : changed) {
       if (e.dirty()) {
         order.add(e);
       }
     }
     Slot slot = next();
     boolean full = false;
-    for (Entry e : order) {
+    for (PageEntry e : order) {
       if (draft.conditions.size() >= 4 * ops - MOST_PAGES - 1) {
         break;
       }
@@ -173,7 +173,7 @@
     }
   }
 
-  private void put(Slot slot, Entry e, JsonNode value, int bytes, Draft draft) {
+  private void put(Slot slot, PageEntry e, JsonNode value, int bytes, TransactionBuilder draft) {
     slot.content.put(e.id(), value);
     slot.carried.add(e);
     slot.bytes += bytes;
@@ -181,7 +181,7 @@
     changed.remove(e);
   }
 
-  private static int bytes(Entry e, JsonNode value) {
+  private static int bytes(PageEntry e, JsonNode value) {
     return Json.write(value).length + e.id().length() + ENTRY_BYTES;
   }
 
@@ -216,7 +216,7 @@
   }
 
   /** Entries of the emptiest page move along, as far as there is room. */
-  private void takeAlong(Slot into, Draft draft) {
+  private void takeAlong(Slot into, TransactionBuilder draft) {
     Slot emptiest = null;
     int used = 0;
     for (Slot s : slots) {
@@ -230,7 +230,7 @@
     if (used <= FEW_PAGES) {
       return;
     }
-    for (Entry e : List.copyOf(emptiest.live)) {
+    for (PageEntry e : List.copyOf(emptiest.live)) {
       if (into.content.containsKey(e.id()) || draft.conditions.size() >= 4 * ops - MOST_PAGES - 1) {
         continue;
       }
@@ -246,7 +246,7 @@
   public void written(long revision) {
     for (Slot s : writing) {
       s.version = revision;
-      for (Entry e : s.carried) {
+      for (PageEntry e : s.carried) {
         Slot before = homes.remove(e);
         if (before != null) {
           before.live.remove(e);
@@ -266,7 +266,7 @@
   public void unwritten() {
     pinned = writing.isEmpty() ? null : writing.get(0);
     for (Slot s : writing) {
-      for (Entry e : s.carried) {
+      for (PageEntry e : s.carried) {
         e.unwritten();
         again(e);
       }
@@ -274,7 +274,7 @@
     settled();
   }
 
-  private void again(Entry e) {
+  private void again(PageEntry e) {
     if (e.dirty()) {
       changed.add(e);
     }
@@ -295,13 +295,13 @@
   }
 
   @Override
-  public void reread(String key, Stored now) {
+  public void reread(String key, VersionedValue now) {
     for (Slot s : slots) {
       if (s.key.equals(key)) {
         s.version = now == null ? 0 : now.version();
       }
     }
-    for (Entry e : List.copyOf(changed)) {
+    for (PageEntry e : List.copyOf(changed)) {
       if (e.dependsOn(key)) {
         e.reread(now);
       }
--- a/src/main/java/dev/windbend/store/Unit.java
+++ b/src/main/java/dev/windbend/store/PendingWrite.java
@@ -1,7 +1,7 @@
 package dev.windbend.store;
 
 /** Something an owner keeps in the state service and writes when it has changed. */
-public interface Unit {
+public interface PendingWrite {
   /** Has changes that are not being written right now. */
   boolean dirty();
 
@@ -12,7 +12,7 @@
   int cost();
 
   /** Adds conditions and changes, and remembers what is under way. */
-  void fill(Draft draft);
+  void fill(TransactionBuilder draft);
 
   /** The write was applied as this revision. */
   void written(long revision);
@@ -21,7 +21,7 @@
   void unwritten();
 
   /** A key of this unit had another version than expected; this is what it holds (null: gone). */
-  void reread(String key, Stored now);
+  void reread(String key, VersionedValue now);
 
   boolean owns(String key);
 }
--- a/src/main/java/dev/windbend/store/Rate.java
+++ b/src/main/java/dev/windbend/store/Rate.java
@@ -1,19 +1,19 @@
 package dev.windbend.store;
 
-import dev.windbend.daemon.io.Loop;
+import dev.windbend.daemon.io.EventLoop;
 
 /** A token bucket of one second's worth that halves when told it was too fast and recovers. */
 public final class Rate {
   private static final long ONCE_MS = 300;
 
-  private final Loop loop;
+  private final EventLoop loop;
   private final double most;
   private double perS;
   private double tokens;
   private long atMs;
   private long slowedMs = Long.MIN_VALUE / 2;
 
-  public Rate(Loop loop, double perS) {
+  public Rate(EventLoop loop, double perS) {
     this.loop = loop;
     this.most = perS;
     this.perS = perS;
--- a/src/main/java/dev/windbend/store/Replica.java
+++ b/src/main/java/dev/windbend/store/Replica.java
@@ -1,6 +1,6 @@
 package dev.windbend.store;
 
-import dev.windbend.daemon.io.Loop;
+import dev.windbend.daemon.io.EventLoop;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -17,10 +17,10 @@
   /** A watch that hangs is given up soon after this, so that the mirror does not lag for longer. */
   private static final long BLOCK_MS = 3_000;
 
-  private final Loop loop;
+  private final EventLoop loop;
   private final StoreClient store;
   private final String prefix;
-  private final TreeMap<String, Stored> keys = new TreeMap<>();
+  private final TreeMap<String, VersionedValue> keys = new TreeMap<>();
   private final List<Listener> listeners = new ArrayList<>();
   private long revision = -1;
   private long firstRevision = -1;
@@ -29,10 +29,10 @@
 
   /** Told of every change; {@code now} is null if the key is gone. */
   public interface Listener {
-    void changed(String key, Stored now);
+    void changed(String key, VersionedValue now);
   }
 
-  public Replica(Loop loop, StoreClient store, String prefix) {
+  public Replica(EventLoop loop, StoreClient store, String prefix) {
     this.loop = loop;
     this.store = store;
     this.prefix = prefix;
@@ -65,11 +65,11 @@
     return firstRevision;
   }
 
-  public Stored get(String key) {
+  public VersionedValue get(String key) {
     return keys.get(key);
   }
 
-  public NavigableMap<String, Stored> below(String start) {
+  public NavigableMap<String, VersionedValue> below(String start) {
     return keys.subMap(start, true, start + '\uffff', false);
   }
 
@@ -131,7 +131,7 @@
   }
 
   private void apply(StoreClient.Item item) {
-    Stored old = keys.get(item.key());
+    VersionedValue old = keys.get(item.key());
     if (old != null && old.version() >= item.version()) {
       return;
     }
@@ -141,9 +141,9 @@
       }
       keys.remove(item.key());
     } else {
-      keys.put(item.key(), new Stored(item.value(), item.version()));
+      keys.put(item.key(), new VersionedValue(item.value(), item.version()));
     }
-    Stored now = keys.get(item.key());
+    VersionedValue now = keys.get(item.key());
     for (Listener l : listeners) {
       l.changed(item.key(), now);
     }
--- a/src/main/java/dev/windbend/store/StoreClient.java
+++ b/src/main/java/dev/windbend/store/StoreClient.java
@@ -1,8 +1,8 @@
 package dev.windbend.store;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import dev.windbend.daemon.io.EventLoop;
 import dev.windbend.daemon.io.Json;
-import dev.windbend.daemon.io.Loop;
 import dev.windbend.daemon.io.Web;
 import java.util.ArrayDeque;
 import java.util.List;
@@ -19,7 +19,7 @@
   private static final long LIMIT_MS = 2_000;
   private static final int QUEUE = 400;
 
-  private final Loop loop;
+  private final EventLoop loop;
   private final Web web;
   private final String address;
   private final int ops;
@@ -38,7 +38,7 @@
   private record Waiting(int writeCost, Runnable send, Runnable refuse) {}
 
   /** What a read found. Status 404 is an answer too; anything else but 200 is none. */
-  public record Got(int status, Stored stored) {
+  public record Got(int status, VersionedValue stored) {
     public boolean sure() {
       return status == 200 || status == 404;
     }
@@ -52,7 +52,7 @@
   public record Followed(int status, List<Item> events, long revision) {}
 
   public StoreClient(
-      Loop loop, Web web, String address, double rps, double writeRps, int ops, int nodes) {
+      EventLoop loop, Web web, String address, double rps, double writeRps, int ops, int nodes) {
     this.loop = loop;
     this.web = web;
     this.address = address;
@@ -98,7 +98,7 @@
                   if (reply.ok()) {
                     StoreMessages.Pair p = Json.read(reply.body(), StoreMessages.Pair.class);
                     if (p != null) {
-                      done.accept(new Got(200, new Stored(p.value(), p.version())));
+                      done.accept(new Got(200, new VersionedValue(p.value(), p.version())));
                       return;
                     }
                   }
@@ -136,15 +136,15 @@
   }
 
   /** Compares only, or writes for a user: does not wait behind what owners write. */
-  public void commitFirst(Draft draft, Consumer<Outcome> done) {
+  public void commitFirst(TransactionBuilder draft, Consumer<Outcome> done) {
     commit(draft.size() == 0 ? asking : first, draft, done);
   }
 
-  public void commit(Draft draft, Consumer<Outcome> done) {
+  public void commit(TransactionBuilder draft, Consumer<Outcome> done) {
     commit(later, draft, done);
   }
 
-  private void commit(ArrayDeque<Waiting> lane, Draft draft, Consumer<Outcome> done) {
+  private void commit(ArrayDeque<Waiting> lane, TransactionBuilder draft, Consumer<Outcome> done) {
     byte[] body =
         Json.write(
             new StoreMessages.Transaction(
--- a/src/main/java/dev/windbend/store/Draft.java
+++ b/src/main/java/dev/windbend/store/TransactionBuilder.java
@@ -5,12 +5,12 @@
 import java.util.List;
 
 /** A transaction being put together. */
-public final class Draft {
+public final class TransactionBuilder {
   final List<StoreMessages.Condition> conditions = new ArrayList<>();
   final List<StoreMessages.Change> changes = new ArrayList<>();
 
   /** The key must still have this version; 0: must not exist. */
-  public Draft when(String key, long version) {
+  public TransactionBuilder when(String key, long version) {
     for (StoreMessages.Condition c : conditions) {
       if (c.key().equals(key)) {
         return this;
@@ -20,18 +20,18 @@
     return this;
   }
 
-  public Draft put(String key, Object value) {
+  public TransactionBuilder put(String key, Object value) {
     changes.add(new StoreMessages.Change(key, Json.tree(value), null, null, null));
     return this;
   }
 
   /** The key goes when the lease ends. */
-  public Draft putHeld(String key, Object value, long lease) {
+  public TransactionBuilder putHeld(String key, Object value, long lease) {
     changes.add(new StoreMessages.Change(key, Json.tree(value), lease, null, null));
     return this;
   }
 
-  public Draft delete(String key) {
+  public TransactionBuilder delete(String key) {
     changes.add(new StoreMessages.Change(null, null, null, key, null));
     return this;
   }
--- a/src/main/java/dev/windbend/store/Stored.java
+++ b/src/main/java/dev/windbend/store/VersionedValue.java
@@ -3,4 +3,4 @@
 import com.fasterxml.jackson.databind.JsonNode;
 
 /** A key's value and the revision of its last change. */
-public record Stored(JsonNode value, long version) {}
+public record VersionedValue(JsonNode value, long version) {}
--- a/src/main/java/dev/windbend/worker/DirectStops.java
+++ b/src/main/java/dev/windbend/worker/DirectStopClient.java
@@ -1,7 +1,7 @@
 package dev.windbend.worker;
 
+import dev.windbend.daemon.io.EventLoop;
 import dev.windbend.daemon.io.Json;
-import dev.windbend.daemon.io.Loop;
 import dev.windbend.daemon.io.Web;
 import dev.windbend.machine.Machine;
 import java.util.ArrayDeque;
@@ -13,7 +13,7 @@
  * hold and may land late: an attempt of a cancelled job is never wanted again, and the token fences
  * it. Nothing relies on it; what is lost or dropped here the next answer says again.
  */
-public final class DirectStops {
+public final class DirectStopClient {
   static final String PATH = "/commands";
   private static final long LIMIT_MS = 2_000;
   private static final int MOST_AT_ONCE = 12;
@@ -22,14 +22,14 @@
   /** Older than that, the machine has reported and been answered. */
   private final long staleMs;
 
-  private final Loop loop;
+  private final EventLoop loop;
   private final Web web;
   private final ArrayDeque<Waiting> waiting = new ArrayDeque<>();
   private int inProgress;
 
   private record Waiting(String address, WorkerMessages.Commands commands, long untilMs) {}
 
-  public DirectStops(Loop loop, Web web, double reportS) {
+  public DirectStopClient(EventLoop loop, Web web, double reportS) {
     this.loop = loop;
     this.web = web;
     this.staleMs = (long) (1000 * reportS);
--- a/src/main/java/dev/windbend/worker/Reports.java
+++ b/src/main/java/dev/windbend/worker/ReportHandler.java
@@ -1,6 +1,6 @@
 package dev.windbend.worker;
 
-import dev.windbend.daemon.io.Loop;
+import dev.windbend.daemon.io.EventLoop;
 import dev.windbend.daemon.io.Web;
 import dev.windbend.job.Job;
 import dev.windbend.job.Placement;
@@ -14,19 +14,19 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Takes the reports of a part's workers and answers each, at once or when there is news. */
-public final class Reports {
-  private static final Logger LOG = LoggerFactory.getLogger(Reports.class);
+/** Takes the reports of a shard's workers and answers each, at once or when there is news. */
+public final class ReportHandler {
+  private static final Logger LOG = LoggerFactory.getLogger(ReportHandler.class);
 
   /** A worker drops an answer after 4 s; this leaves time for the way and for a slow node. */
   private static final long LONGEST_HOLD_MS = 2_600;
 
   private static final long RECALL_SLACK_MS = 1_000;
 
-  private final Loop loop;
+  private final EventLoop loop;
   private final Fleet fleet;
-  private final WorkerDesk desk;
-  private final DirectStops directStops;
+  private final TaskReconciler desk;
+  private final DirectStopClient directStops;
   private final Host host;
   private final long token;
   private final long reportMs;
@@ -34,7 +34,7 @@
   private final long idleHoldMs;
   private final Map<Machine, Waiting> waiting = new LinkedHashMap<>();
 
-  /** What is needed of the part's owner. */
+  /** What is needed of the shard's owner. */
   public interface Host {
     boolean mayAct();
 
@@ -55,11 +55,11 @@
       boolean idle,
       Consumer<Web.Answer> done) {}
 
-  public Reports(
-      Loop loop,
+  public ReportHandler(
+      EventLoop loop,
       Fleet fleet,
-      WorkerDesk desk,
-      DirectStops directStops,
+      TaskReconciler desk,
+      DirectStopClient directStops,
       Host host,
       long token,
       double reportS,
--- a/src/main/java/dev/windbend/worker/WorkerDesk.java
+++ b/src/main/java/dev/windbend/worker/TaskReconciler.java
@@ -14,19 +14,19 @@
 import org.slf4j.LoggerFactory;
 
 /** Learns from reports, and answers each with the difference between wanted and reported tasks. */
-public final class WorkerDesk {
-  private static final Logger LOG = LoggerFactory.getLogger(WorkerDesk.class);
+public final class TaskReconciler {
+  private static final Logger LOG = LoggerFactory.getLogger(TaskReconciler.class);
   private static final long FULL_MS = 3_000;
   private static final long UNKNOWN_MS = 3_000;
 
   private final Book book;
 
-  /** What the desk needs of the part's owner. */
+  /** What the desk needs of the shard's owner. */
   public interface Book {
-    /** Null if it is not a live job of this part. */
+    /** Null if it is not a live job of this shard. */
     Job job(String uid);
 
-    /** Finally cancelled, as far as this node knows; whoever owns the part now. */
+    /** Finally cancelled, as far as this node knows; whoever owns the shard now. */
     boolean cancelled(String uid);
 
     /** The job's records have changed. */
@@ -39,7 +39,7 @@
     int image(String name);
   }
 
-  public WorkerDesk(Book book) {
+  public TaskReconciler(Book book) {
     this.book = book;
   }
 
@@ -175,7 +175,7 @@
 
   /**
    * Stops for all reported tasks of cancelled jobs. They need no hold: they are right whoever owns
-   * the part, and without them an owner that is unsure through an outage would keep such a task
+   * the shard, and without them an owner that is unsure through an outage would keep such a task
    * alive, by renewing its machine's lease, for longer than {@code cancel_s}.
    */
   public List<Order> cancelledStops(Report r) {
--- a/src/test/java/dev/windbend/daemon/MeetingsTest.java
+++ b/src/test/java/dev/windbend/daemon/MeetingsTest.java
@@ -25,17 +25,17 @@
 
   /** What else happens when cancellations meet the end of the state service's answers. */
   private static Arguments gap(
-      String name, boolean keepsOthers, BiConsumer<World, String> troubles) {
+      String name, boolean keepsOthers, BiConsumer<SimulatedCluster, String> troubles) {
     return Arguments.of(name, keepsOthers, troubles);
   }
 
-  private static void hang(World w, List<StandInWorker> machines, long forMs) {
+  private static void hang(SimulatedCluster w, List<StandInWorker> machines, long forMs) {
     machines.forEach(m -> m.hung = true);
     w.time.at(forMs, () -> machines.forEach(m -> m.hung = false));
   }
 
   /** Refused alone, and 2 s later out for all. */
-  private static void refuseThenOutage(World w, String owner) {
+  private static void refuseThenOutage(SimulatedCluster w, String owner) {
     w.store.deaf.add(owner);
     w.time.at(14_000, () -> w.store.deaf.clear());
     w.time.at(2_000, () -> outage(w, OUTAGE_MS));
@@ -95,16 +95,16 @@
   }
 
   /**
-   * The state service refuses the owner of parts alone, another node confirms cancellations, then
+   * The state service refuses the owner of shards alone, another node confirms cancellations, then
    * it is out for all for longer than {@code cancel_s}: the tasks are gone in time, and where the
    * owner can learn which they are the others' work goes on.
    */
   @ParameterizedTest(name = "{0}")
   @MethodSource("gaps")
   void tasksCancelledBeforeAnOutageAreGoneInTime(
-      String name, boolean keepsOthers, BiConsumer<World, String> troubles) {
+      String name, boolean keepsOthers, BiConsumer<SimulatedCluster, String> troubles) {
     for (long seed = 1; seed <= 3; seed++) {
-      World w = new World(seed * 31 + name.hashCode());
+      SimulatedCluster w = new SimulatedCluster(seed * 31 + name.hashCode());
       w.loss = 0;
       w.late = 0;
       w.leastRunMs = 150_000;
@@ -128,12 +128,12 @@
     }
   }
 
-  private static Arguments meeting(String name, Consumer<World> troubles) {
+  private static Arguments meeting(String name, Consumer<SimulatedCluster> troubles) {
     return Arguments.of(name, troubles);
   }
 
   /** Takes some machines of a zone, without notice. */
-  private static void takeOf(World w, String zone, int count) {
+  private static void takeOf(SimulatedCluster w, String zone, int count) {
     w.machines.values().stream()
         .filter(m -> m.zone.equals(zone))
         .limit(count)
@@ -142,7 +142,7 @@
   }
 
   /** Cut from the state service and the other nodes, not from workers and users. */
-  private static void cutFromServices(World w, String node, long forMs) {
+  private static void cutFromServices(SimulatedCluster w, String node, long forMs) {
     w.store.deaf.add(node);
     for (int n = 0; n < w.size; n++) {
       if (!node.equals("n" + n)) {
@@ -158,7 +158,7 @@
   }
 
   /** The tasks of jobs just cancelled are gone soon, by direct commands. */
-  private static void goneBy(World w, List<StandInWorker> machines, long ms) {
+  private static void goneBy(SimulatedCluster w, List<StandInWorker> machines, long ms) {
     w.time.at(
         ms,
         () ->
@@ -369,9 +369,9 @@
 
   @ParameterizedTest(name = "{0}")
   @MethodSource("meetings")
-  void keepsTheRulesAndEndsAllWork(String name, Consumer<World> troubles) {
+  void keepsTheRulesAndEndsAllWork(String name, Consumer<SimulatedCluster> troubles) {
     for (long seed = 1; seed <= 4; seed++) {
-      World w = new World(seed * 104_729 + name.hashCode());
+      SimulatedCluster w = new SimulatedCluster(seed * 104_729 + name.hashCode());
       w.calmFromMs = 150_000;
       troubles.accept(w);
       w.begin(30, 90_000);
--- a/src/test/java/dev/windbend/daemon/DoorTest.java
+++ b/src/test/java/dev/windbend/daemon/NodeTest.java
@@ -9,16 +9,16 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** What a node answers to single requests. */
-class DoorTest {
+class NodeTest {
   private static final String JOB =
       "{'uid':'wk-000001','fleet':'k','crew':'red','shape':'batch','urgency':'idle','drops':2,"
           + "'cores':1.0,'cards':0.0,'ram_gb':1.0,'load':'i','pull_gb':1.0,'rigs':null,"
           + "'yard':null,'together':false,'spread':false,'standby':true,'haul_s':5.0,"
           + "'waypoint_s':0.0,'stow_s':0.0,'due_s':null}";
 
-  private final World w = new World(5);
+  private final SimulatedCluster w = new SimulatedCluster(5);
 
-  DoorTest() {
+  NodeTest() {
     w.loss = 0;
     w.late = 0;
     w.begin(0, 1);
--- a/src/test/java/dev/windbend/daemon/OverdueJobsTest.java
+++ b/src/test/java/dev/windbend/daemon/OverdueJobsTest.java
@@ -13,7 +13,7 @@
 /**
  * The cloud has no more machines. Those of the first shard keep a long task each and have room
  * beside it, while jobs of other shards, under their teams' limits, find none. The judge of {@link
- * World} says whether any of them waits for 90 s beside such room.
+ * SimulatedCluster} says whether any of them waits for 90 s beside such room.
  */
 class OverdueJobsTest {
   private static final long DAY_MS = 900_000;
@@ -22,14 +22,15 @@
 
   /** Every fourth task of the first job is long, so that one is left on each machine. */
   private static final ToLongFunction<String> ONE_LONG_TASK_A_MACHINE =
-      task -> task.startsWith("wk-000000") && World.task(task) % 4 == 0 ? 400_000 : 5_000;
+      task ->
+          task.startsWith("wk-000000") && SimulatedCluster.task(task) % 4 == 0 ? 400_000 : 5_000;
 
-  private static Arguments waiting(String name, int machines, Consumer<World> jobs) {
+  private static Arguments waiting(String name, int machines, Consumer<SimulatedCluster> jobs) {
     return Arguments.of(name, machines, jobs);
   }
 
-  private static void submit(World w, int number, String team, int tasks, String zone) {
-    World.User user = w.new User(number, team, tasks, zone, true, false);
+  private static void submit(SimulatedCluster w, int number, String team, int tasks, String zone) {
+    SimulatedCluster.User user = w.new User(number, team, tasks, zone, true, false);
     w.time.at(WAITING_FROM_MS + 200L * (number % 50), user::submit);
   }
 
@@ -83,16 +84,17 @@
 
   @ParameterizedTest(name = "{0}")
   @MethodSource("jobsThatWait")
-  void noJobWaitsBesideRoomOfAnotherShard(String name, int machines, Consumer<World> jobs) {
+  void noJobWaitsBesideRoomOfAnotherShard(
+      String name, int machines, Consumer<SimulatedCluster> jobs) {
     for (long seed = 1; seed <= 3; seed++) {
-      World w = new World(seed);
+      SimulatedCluster w = new SimulatedCluster(seed);
       w.capacity = machines;
       w.loss = 0;
       w.late = 0;
       w.calmFromMs = 0;
       w.runs = ONE_LONG_TASK_A_MACHINE;
       w.begin(0, 1);
-      World.User first = w.new User(FIRST_JOB, "red", 4 * machines, null, true, false);
+      SimulatedCluster.User first = w.new User(FIRST_JOB, "red", 4 * machines, null, true, false);
       w.time.at(5_000, first::submit);
       jobs.accept(w);
       w.time.runUntil(DAY_MS);
--- a/src/test/java/dev/windbend/daemon/RulesTest.java
+++ b/src/test/java/dev/windbend/daemon/RulesTest.java
@@ -23,7 +23,7 @@
 class RulesTest {
   private static final long DAY_MS = 600_000;
 
-  private static Arguments day(String name, Consumer<World> troubles) {
+  private static Arguments day(String name, Consumer<SimulatedCluster> troubles) {
     return Arguments.of(name, troubles);
   }
 
@@ -145,7 +145,7 @@
             w -> each(w, 20_000, 9_000, 6, () -> deafen(w, any(w)))),
         day("copies of reports come late", w -> w.copies = 0.3),
         day(
-            "late copies while nodes crash, machines go and come back to other parts",
+            "late copies while nodes crash, machines go and come back to other shards",
             w -> {
               w.copies = 0.3;
               each(w, 15_000, 17_000, 5, () -> crash(w, 3_000, w.random.nextInt(3)));
@@ -245,9 +245,9 @@
 
   @ParameterizedTest(name = "{0}")
   @MethodSource("days")
-  void keepsTheRulesAndEndsAllWork(String name, Consumer<World> troubles) {
+  void keepsTheRulesAndEndsAllWork(String name, Consumer<SimulatedCluster> troubles) {
     for (long seed = 1; seed <= 3; seed++) {
-      World w = new World(seed * 7_919 + name.hashCode());
+      SimulatedCluster w = new SimulatedCluster(seed * 7_919 + name.hashCode());
       w.begin(30, 90_000);
       w.calmFromMs = 130_000;
       troubles.accept(w);
@@ -269,7 +269,7 @@
   @CsvSource({"1,10000", "1,100000", "2,10000", "2,100000", "4,100000", "5,25000", "5,60000"})
   void boundsWhatNodesCutOffTogetherKeep(int cutOff, long forMs) {
     for (long seed = 1; seed <= 3; seed++) {
-      World w = new World(seed, 5);
+      SimulatedCluster w = new SimulatedCluster(seed, 5);
       w.leastRunMs = 150_000;
       w.cancelsFromMs = 25_000;
       // Enough for all teams at their limits: what is judged here is not shortage.
@@ -313,11 +313,11 @@
     }
   }
 
-  /** A node that its workers can't reach leaves its part to one they can, before leases end. */
+  /** A node that its workers can't reach leaves its shard to one they can, before leases end. */
   @Test
   void leavesItsPartToANodeThatTheWorkersReach() {
     for (long seed = 1; seed <= 3; seed++) {
-      World w = new World(seed, 5);
+      SimulatedCluster w = new SimulatedCluster(seed, 5);
       w.loss = 0;
       w.late = 0;
       w.leastRunMs = 60_000;
@@ -341,17 +341,17 @@
   @Test
   void mistakenJobsHaveNoMachineQuarantined() {
     for (long seed = 1; seed <= 3; seed++) {
-      World w = new World(seed);
+      SimulatedCluster w = new SimulatedCluster(seed);
       w.capacity = 12;
       w.runs = drop -> 200_000;
       w.begin(0, 1);
       for (int n = 0; n < 6; n++) {
-        World.User u = w.new User(n, 4, null, false, false);
+        SimulatedCluster.User u = w.new User(n, 4, null, false, false);
         w.time.at(3_000, u::submit);
       }
-      List<World.User> mistaken = new ArrayList<>();
+      List<SimulatedCluster.User> mistaken = new ArrayList<>();
       for (int n = 6; n < 18; n++) {
-        World.User u = w.new User(n, 5, null, false, false);
+        SimulatedCluster.User u = w.new User(n, 5, null, false, false);
         u.mistaken = true;
         mistaken.add(u);
         w.time.at(30_000 + 1_500 * n, u::submit);
@@ -362,7 +362,7 @@
       w.time.runUntil(150_000);
       assertThat(w.returned).as("given back, seed %d", seed).isEqualTo(before);
       mistaken.forEach(u -> u.cancels = true);
-      mistaken.forEach(World.User::cancel);
+      mistaken.forEach(SimulatedCluster.User::cancel);
       w.time.runUntil(DAY_MS);
       assertThat(w.violations).as("rules, seed %d", seed).isEmpty();
       assertThat(w.unfinished()).as("unfinished, seed %d", seed).isEmpty();
@@ -373,25 +373,25 @@
   @Test
   void servesGuestsAndTheTeamsBesideThem() {
     for (long seed = 1; seed <= 3; seed++) {
-      World w = new World(seed);
+      SimulatedCluster w = new SimulatedCluster(seed);
       w.capacity = 12;
       w.begin(0, 1);
-      World.User array = w.new User(1_000, "guests", 300, null, true, false);
+      SimulatedCluster.User array = w.new User(1_000, "guests", 300, null, true, false);
       w.time.at(3_000, array::submit);
       for (int n = 0; n < 60; n++) {
-        World.User guest = w.new User(2_000 + n, "guests", 1, null, true, false);
+        SimulatedCluster.User guest = w.new User(2_000 + n, "guests", 1, null, true, false);
         w.time.at(5_000 + 200 * n, guest::submit);
       }
-      List<World.User> others = new ArrayList<>();
+      List<SimulatedCluster.User> others = new ArrayList<>();
       for (int n = 0; n < 30; n++) {
-        World.User u = w.new User(n, 1 + n % 4, null, true, false);
+        SimulatedCluster.User u = w.new User(n, 1 + n % 4, null, true, false);
         others.add(u);
         w.time.at(20_000 + 3_000 * n, u::submit);
       }
       w.time.runUntil(1_200_000);
       assertThat(w.violations).as("rules, seed %d", seed).isEmpty();
       assertThat(w.unfinished()).as("unfinished, seed %d", seed).isEmpty();
-      for (World.User u : others) {
+      for (SimulatedCluster.User u : others) {
         assertThat(u.begunMs - u.firstSentMs).as("%s of %s", u.uid, u.team).isLessThan(60_000);
       }
     }
@@ -401,17 +401,17 @@
   @Test
   void everyJobBeginsWithinFourMinutesWhileCapacityIsShort() {
     for (long seed = 1; seed <= 3; seed++) {
-      World w = new World(seed);
+      SimulatedCluster w = new SimulatedCluster(seed);
       w.capacity = 4;
       w.begin(0, 1);
       for (int n = 0; n < 60; n++) {
-        World.User u = w.new User(n, n % 10 == 0 ? 40 : 1 + n % 7, null, true, false);
+        SimulatedCluster.User u = w.new User(n, n % 10 == 0 ? 40 : 1 + n % 7, null, true, false);
         w.time.at(3_000 + 2_500 * n, u::submit);
       }
       w.time.runUntil(1_200_000);
       assertThat(w.violations).isEmpty();
       assertThat(w.unfinished()).isEmpty();
-      for (World.User u : w.users.values()) {
+      for (SimulatedCluster.User u : w.users.values()) {
         assertThat(u.begunMs - u.firstSentMs)
             .as("%s of %s with %d tasks, seed %d", u.uid, u.team, u.tasks, seed)
             .isLessThan(240_000);
@@ -420,20 +420,22 @@
   }
 
   /**
-   * The cloud has no more machines, and those of one part keep a long task each and room beside it,
-   * while a job of another part, under its team's limit, waits.
+   * The cloud has no more machines, and those of one shard keep a long task each and room beside
+   * it, while a job of another shard, under its team's limit, waits.
    */
   @Test
   void noJobWaitsWhileABusyMachineOfAnotherPartHasRoom() {
-    World w = new World(1);
+    SimulatedCluster w = new SimulatedCluster(1);
     w.capacity = 4;
     w.loss = 0;
     w.late = 0;
-    w.runs = drop -> drop.startsWith("wk-000000") && World.task(drop) % 4 == 0 ? 300_000 : 5_000;
+    w.runs =
+        drop ->
+            drop.startsWith("wk-000000") && SimulatedCluster.task(drop) % 4 == 0 ? 300_000 : 5_000;
     w.calmFromMs = 0;
     w.begin(0, 1);
-    World.User first = w.new User(0, 16, null, true, false);
-    World.User second = w.new User(1, 1, null, true, false);
+    SimulatedCluster.User first = w.new User(0, 16, null, true, false);
+    SimulatedCluster.User second = w.new User(1, 1, null, true, false);
     w.time.at(5_000, first::submit);
     w.time.at(60_000, second::submit);
     w.time.runUntil(DAY_MS);
@@ -445,7 +447,7 @@
   void givesTheSameVerdictEveryTime() {
     long[] ends = new long[2];
     for (int i = 0; i < 2; i++) {
-      World w = new World(4);
+      SimulatedCluster w = new SimulatedCluster(4);
       w.begin(10, 20_000);
       w.time.runUntil(60_000);
       ends[i] = w.store.liveKeys("") * 1_000L + w.random.nextInt(1_000);
--- a/src/test/java/dev/windbend/daemon/SettingsTest.java
+++ b/src/test/java/dev/windbend/daemon/SettingsTest.java
@@ -3,7 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-import dev.windbend.part.Policy;
+import dev.windbend.shard.Policy;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -92,11 +92,18 @@
         "[plan]\nperiod_s = soon",
         "[plan]\nperiod_s = 0",
         "[plan]\nrounds_on_events = 1",
-        "[part]\nhold_s = -3",
+        "[shard]\nhold_s = -3",
       })
   void operatorsMistakesAreNamed(String ini) {
     assertThatThrownBy(() -> Operator.parse(ini))
         .isInstanceOf(Settings.Invalid.class)
         .hasMessageContaining("must be");
   }
+
+  @Test
+  void aFormerNameIsAnsweredWithTheNewOne() {
+    assertThatThrownBy(() -> Operator.parse("[part]\nhold_s = 4"))
+        .isInstanceOf(Settings.Invalid.class)
+        .hasMessageContaining("[shard]");
+  }
 }
--- a/src/test/java/dev/windbend/daemon/World.java
+++ b/src/test/java/dev/windbend/daemon/SimulatedCluster.java
@@ -17,7 +17,7 @@
 import java.util.function.ToLongFunction;
 
 /** Some nodes, stand-ins for all they talk to, users, and the rules, all in virtual time. */
-final class World {
+final class SimulatedCluster {
   static final long LEASE_MS = 14_000;
   static final long REPORT_MS = 1_500;
   static final long CANCEL_MS = 30_000;
@@ -109,11 +109,11 @@
   /** From then on every question must be answered within 75 s. */
   long calmFromMs = Long.MAX_VALUE;
 
-  World(long seed) {
+  SimulatedCluster(long seed) {
     this(seed, 3);
   }
 
-  World(long seed, int size) {
+  SimulatedCluster(long seed, int size) {
     this.random = new Random(seed);
     this.size = size;
     this.nodes = new Node[size];
@@ -750,9 +750,9 @@
         .toList();
   }
 
-  /** The node that holds a part's claim; null: none does. */
-  String owner(int part) {
-    JsonNode claim = store.value("w/c/" + part);
+  /** The node that holds a shard's claim; null: none does. */
+  String owner(int shard) {
+    JsonNode claim = store.value("w/c/" + shard);
     return claim == null ? null : claim.path("owner").asText();
   }
 
--- a/src/test/java/dev/windbend/daemon/StandInStore.java
+++ b/src/test/java/dev/windbend/daemon/StandInStore.java
@@ -280,9 +280,9 @@
   }
 
   private static String query(String path, String name) {
-    for (String part : path.substring(path.indexOf('?') + 1).split("&")) {
-      if (part.startsWith(name + "=")) {
-        return part.substring(name.length() + 1);
+    for (String parameter : path.substring(path.indexOf('?') + 1).split("&")) {
+      if (parameter.startsWith(name + "=")) {
+        return parameter.substring(name.length() + 1);
       }
     }
     return "";
--- a/src/test/java/dev/windbend/daemon/StandInWorker.java
+++ b/src/test/java/dev/windbend/daemon/StandInWorker.java
@@ -17,7 +17,7 @@
   final String name;
   final String zone;
   final boolean spot;
-  private final World world;
+  private final SimulatedCluster world;
   private final Map<String, Task> tasks = new LinkedHashMap<>();
   private int node;
   private long shift = 1;
@@ -47,7 +47,7 @@
     boolean counted;
   }
 
-  StandInWorker(World world, String name, String zone, boolean spot) {
+  StandInWorker(SimulatedCluster world, String name, String zone, boolean spot) {
     this.world = world;
     this.name = name;
     this.zone = zone;
@@ -72,7 +72,7 @@
     if (gone) {
       return;
     }
-    if (!hung && world.time.nowMs() - leaseFromMs > World.LEASE_MS) {
+    if (!hung && world.time.nowMs() - leaseFromMs > SimulatedCluster.LEASE_MS) {
       world.lapsed += tasks.isEmpty() ? 0 : 1;
       tasks.values().forEach(this::leave);
       tasks.clear();
@@ -189,7 +189,9 @@
 
   private void execute(JsonNode answer, long sent, long inShift) {
     long token = answer.path("baton").asLong(-1);
-    next(World.REPORT_MS * 3 / 4 + world.random.nextInt((int) World.REPORT_MS / 2));
+    next(
+        SimulatedCluster.REPORT_MS * 3 / 4
+            + world.random.nextInt((int) SimulatedCluster.REPORT_MS / 2));
     if (token < baton || inShift != shift) {
       return;
     }
--- a/src/test/java/dev/windbend/daemon/Troubles.java
+++ b/src/test/java/dev/windbend/daemon/Troubles.java
@@ -6,18 +6,18 @@
 final class Troubles {
   private Troubles() {}
 
-  static void each(World w, long fromMs, long everyMs, int times, Runnable what) {
+  static void each(SimulatedCluster w, long fromMs, long everyMs, int times, Runnable what) {
     for (int i = 0; i < times; i++) {
       w.time.at(fromMs + i * everyMs, what);
     }
   }
 
-  static StandInWorker any(World w) {
+  static StandInWorker any(SimulatedCluster w) {
     List<StandInWorker> all = List.copyOf(w.machines.values());
     return all.isEmpty() ? null : all.get(w.random.nextInt(all.size()));
   }
 
-  static void hang(World w, long forMs) {
+  static void hang(SimulatedCluster w, long forMs) {
     StandInWorker m = any(w);
     if (m != null) {
       m.hung = true;
@@ -25,19 +25,19 @@
     }
   }
 
-  static void outage(World w, long forMs) {
+  static void outage(SimulatedCluster w, long forMs) {
     w.store.outage = true;
     w.time.at(forMs, w.store::recover);
   }
 
-  static void crash(World w, long backMs, int... nodes) {
+  static void crash(SimulatedCluster w, long backMs, int... nodes) {
     for (int i : nodes) {
       w.kill(i, backMs);
     }
   }
 
   /** Both ways, between one and all others of a list. */
-  static void cutOff(World w, String one, Iterable<String> others) {
+  static void cutOff(SimulatedCluster w, String one, Iterable<String> others) {
     for (String o : others) {
       w.cut.add(one + ">" + o);
       w.cut.add(o + ">" + one);
@@ -45,7 +45,7 @@
   }
 
   /** Its reports arrive, but no answer reaches it. */
-  static void deafen(World w, StandInWorker m) {
+  static void deafen(SimulatedCluster w, StandInWorker m) {
     for (int n = 0; m != null && n < 3; n++) {
       w.cut.add("n" + n + ">" + m.name);
     }
--- a/src/test/java/dev/windbend/daemon/VirtualTime.java
+++ b/src/test/java/dev/windbend/daemon/VirtualTime.java
@@ -1,6 +1,6 @@
 package dev.windbend.daemon;
 
-import dev.windbend.daemon.io.Loop;
+import dev.windbend.daemon.io.EventLoop;
 import java.util.PriorityQueue;
 import java.util.function.LongSupplier;
 
@@ -33,7 +33,7 @@
   }
 
   /** A process's own loop: its clocks start anywhere, and nothing of it runs once it is dead. */
-  final class ProcessLoop implements Loop {
+  final class ProcessLoop implements EventLoop {
     private final long offsetMs;
     private final long wallOffMs;
     private boolean dead;
--- a/src/test/java/dev/windbend/job/IntakeTest.java
+++ b/src/test/java/dev/windbend/job/SubmissionValidatorTest.java
@@ -16,7 +16,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
-class IntakeTest {
+class SubmissionValidatorTest {
   private static final String GOOD =
       "{'uid':'wk-000412','fleet':'train','crew':'vision','shape':'batch','urgency':'urgent',"
           + "'drops':16,'cores':8.0,'cards':1.0,'ram_gb':64.0,'load':'img-07','pull_gb':6.2,"
@@ -30,8 +30,8 @@
   }
 
   @Test
-  void readsAGoodOneAndIgnoresUnknownFields() throws Intake.Malformed {
-    JobSpec s = Intake.read(json(GOOD));
+  void readsAGoodOneAndIgnoresUnknownFields() throws SubmissionValidator.Malformed {
+    JobSpec s = SubmissionValidator.read(json(GOOD));
     assertThat(s.uid()).isEqualTo("wk-000412");
     assertThat(s.tasks()).isEqualTo(16);
     assertThat(s.types()).containsExactly("g8");
@@ -40,14 +40,15 @@
   }
 
   @Test
-  void takesMissingForNull() throws Intake.Malformed {
-    assertThat(Intake.read(json(GOOD.replace("'due_s':900.0,", ""))).dueS()).isNull();
+  void takesMissingForNull() throws SubmissionValidator.Malformed {
+    assertThat(SubmissionValidator.read(json(GOOD.replace("'due_s':900.0,", ""))).dueS()).isNull();
   }
 
   @ParameterizedTest
   @ValueSource(strings = {"", "{", "[]", "7", "null", "'x'", "{}", "{} {}"})
   void refusesWhatIsNoObject(String text) {
-    assertThatThrownBy(() -> Intake.read(json(text))).isInstanceOf(Intake.Malformed.class);
+    assertThatThrownBy(() -> SubmissionValidator.read(json(text)))
+        .isInstanceOf(SubmissionValidator.Malformed.class);
   }
 
   @ParameterizedTest(name = "{0} -> {1}")
@@ -79,7 +80,8 @@
   void refusesABadField(String from, String to) {
     assertThat(GOOD).contains(from);
     String bad = GOOD.replace(from, to == null ? "" : to);
-    assertThatThrownBy(() -> Intake.read(json(bad))).isInstanceOf(Intake.Malformed.class);
+    assertThatThrownBy(() -> SubmissionValidator.read(json(bad)))
+        .isInstanceOf(SubmissionValidator.Malformed.class);
   }
 
   /** Each field: missing, null and of another type; a job that lacks one must not be accepted. */
@@ -114,7 +116,8 @@
     without.remove(field);
     for (ObjectNode lacks : List.of(without, good.deepCopy().putNull(field))) {
       if (mayBeNull) {
-        assertThat(Intake.read(MAPPER.writeValueAsBytes(lacks)).uid()).isEqualTo("wk-000412");
+        assertThat(SubmissionValidator.read(MAPPER.writeValueAsBytes(lacks)).uid())
+            .isEqualTo("wk-000412");
       } else {
         refuses(lacks, field);
       }
@@ -135,9 +138,9 @@
 
   private static void refuses(ObjectNode job, String field) throws Exception {
     byte[] body = MAPPER.writeValueAsBytes(job);
-    assertThatThrownBy(() -> Intake.read(body))
+    assertThatThrownBy(() -> SubmissionValidator.read(body))
         .as(job.toString())
-        .isInstanceOf(Intake.Malformed.class)
+        .isInstanceOf(SubmissionValidator.Malformed.class)
         .hasMessageContaining(field);
   }
 }
--- a/src/test/java/dev/windbend/machine/FleetTest.java
+++ b/src/test/java/dev/windbend/machine/FleetTest.java
@@ -2,11 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import dev.windbend.daemon.io.EventLoop;
 import dev.windbend.daemon.io.Json;
-import dev.windbend.daemon.io.Loop;
 import dev.windbend.daemon.io.Web;
-import dev.windbend.store.Draft;
-import dev.windbend.store.Unit;
+import dev.windbend.store.PendingWrite;
+import dev.windbend.store.TransactionBuilder;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -28,8 +28,8 @@
   private final List<Runnable> waiting = new ArrayList<>();
   private boolean mayAct = true;
 
-  private final Loop loop =
-      new Loop() {
+  private final EventLoop loop =
+      new EventLoop() {
         @Override
         public long nowMs() {
           return nowMs;
@@ -51,9 +51,9 @@
   private final Fleet.Host host =
       new Fleet.Host() {
         @Override
-        public void touch(Unit unit) {
+        public void touch(PendingWrite unit) {
           if (unit.dirty()) {
-            unit.fill(new Draft());
+            unit.fill(new TransactionBuilder());
             unit.written(++changes);
           }
         }
@@ -71,7 +71,7 @@
       };
 
   private final CloudClient cloud = new CloudClient(loop, this::answer, "cloud:1", 4, 1);
-  private final Catalog catalog = new Catalog(loop, cloud, List.of("a"));
+  private final MachineTypeCatalog catalog = new MachineTypeCatalog(loop, cloud, List.of("a"));
   private final Fleet fleet = new Fleet(loop, cloud, catalog, 0, 7, host);
 
   FleetTest() {
@@ -113,7 +113,7 @@
     fleet.pursue();
   }
 
-  /** As a part does that lacks machines all day: what is on offer is wanted again every round. */
+  /** As a shard does that lacks machines all day: what is on offer is wanted again every round. */
   private void want(int count) {
     if (!fleet.refused(0, 0, true)) {
       fleet.rent(catalog.type(0), 0, true, count);
@@ -137,7 +137,7 @@
     assertThat(fleet.machines()).as("all that the cloud has again").hasSize(2_000);
   }
 
-  /** A process that stood still with a return in its queue may have lost the part meanwhile. */
+  /** A process that stood still with a return in its queue may have lost the shard meanwhile. */
   @ParameterizedTest(name = "still the owner when it may be sent: {0}")
   @ValueSource(booleans = {true, false})
   void givesBackOnlyWhatIsStillItsOwn(boolean owner) {
--- a/src/test/java/dev/windbend/machine/DirectoryTest.java
+++ b/src/test/java/dev/windbend/machine/MachineIndexTest.java
@@ -3,25 +3,25 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import dev.windbend.daemon.io.Json;
-import dev.windbend.store.Stored;
+import dev.windbend.store.VersionedValue;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
 /** Of all records that name a machine, the one with the highest fence counts, in any order. */
-class DirectoryTest {
-  private final Directory directory = new Directory();
+class MachineIndexTest {
+  private final MachineIndex directory = new MachineIndex();
 
   private void record(String key, Long fence, long version, String... machines) {
-    HireRecord r = new HireRecord("t", "z", true, 0, List.of(machines), fence);
-    directory.changed(key, new Stored(Json.tree(r), version));
+    RentalRecord r = new RentalRecord("t", "z", true, 0, List.of(machines), fence);
+    directory.changed(key, new VersionedValue(Json.tree(r), version));
   }
 
   @Test
   void aGivenMachineIsTheReceiversWhateverOrderTheRecordsComeIn() {
     record("w/h/1/g", 0L, 20, "m1");
     record("w/h/0/h", null, 30, "m1", "m2");
-    assertThat(directory.partOf("m1")).isEqualTo(1);
-    assertThat(directory.partOf("m2")).isEqualTo(0);
+    assertThat(directory.shardOf("m1")).isEqualTo(1);
+    assertThat(directory.shardOf("m2")).isEqualTo(0);
     assertThat(directory.names("w/h/0/h", "m1")).isFalse();
   }
 
@@ -39,7 +39,7 @@
     record("w/h/1/g", 0L, 20, "m1", "m2");
     record("w/h/2/g", 0L, 30, "m1");
     record("w/h/1/g", 20L, 50, "m1", "m2");
-    assertThat(directory.partOf("m1")).isEqualTo(2);
+    assertThat(directory.shardOf("m1")).isEqualTo(2);
   }
 
   @Test
@@ -56,7 +56,8 @@
   @Test
   void aRentalWithoutAnAnswerNamesNothing() {
     directory.changed(
-        "w/h/0/h", new Stored(Json.tree(new HireRecord("t", "z", true, 5, null, null)), 10));
-    assertThat(directory.partOf("m1")).isEqualTo(-1);
+        "w/h/0/h",
+        new VersionedValue(Json.tree(new RentalRecord("t", "z", true, 5, null, null)), 10));
+    assertThat(directory.shardOf("m1")).isEqualTo(-1);
   }
 }
--- a/src/test/java/dev/windbend/overload/GateTest.java
+++ b/src/test/java/dev/windbend/overload/ConcurrencyLimiterTest.java
@@ -2,18 +2,18 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import dev.windbend.daemon.io.Loop;
+import dev.windbend.daemon.io.EventLoop;
 import dev.windbend.daemon.io.Web;
 import java.util.ArrayDeque;
 import java.util.Map;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 
-class GateTest {
+class ConcurrencyLimiterTest {
   private long now;
 
-  private final Loop loop =
-      new Loop() {
+  private final EventLoop loop =
+      new EventLoop() {
         @Override
         public long nowMs() {
           return now;
@@ -30,8 +30,9 @@
         }
       };
   private final ArrayDeque<Consumer<Web.Answer>> open = new ArrayDeque<>();
-  private final Gate gate =
-      new Gate(loop, r -> r.method().equals("POST"), (request, done) -> open.add(done));
+  private final ConcurrencyLimiter gate =
+      new ConcurrencyLimiter(
+          loop, r -> r.method().equals("POST"), (request, done) -> open.add(done));
   private final Web.Request request = new Web.Request("GET", "/", Map.of(), new byte[0]);
 
   @Test
--- a/src/test/java/dev/windbend/part/FactsTest.java
+++ b/src/test/java/dev/windbend/shard/FactsTest.java
@@ -1,4 +1,4 @@
-package dev.windbend.part;
+package dev.windbend.shard;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/src/test/java/dev/windbend/part/LoansTest.java
+++ b/src/test/java/dev/windbend/shard/MachineTransfersTest.java
@@ -1,19 +1,19 @@
-package dev.windbend.part;
+package dev.windbend.shard;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import dev.windbend.daemon.io.EventLoop;
 import dev.windbend.daemon.io.Json;
-import dev.windbend.daemon.io.Loop;
 import dev.windbend.daemon.io.Web;
-import dev.windbend.machine.Catalog;
 import dev.windbend.machine.CloudClient;
-import dev.windbend.machine.Directory;
 import dev.windbend.machine.Fleet;
-import dev.windbend.machine.HireRecord;
 import dev.windbend.machine.Machine;
+import dev.windbend.machine.MachineIndex;
+import dev.windbend.machine.MachineTypeCatalog;
+import dev.windbend.machine.RentalRecord;
 import dev.windbend.machine.TaskRequirements;
-import dev.windbend.store.Stored;
-import dev.windbend.store.Unit;
+import dev.windbend.store.PendingWrite;
+import dev.windbend.store.VersionedValue;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -22,14 +22,14 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-/** A part with ten busy machines of 8 cores and a guarantee of 40 is asked for machines. */
-class LoansTest {
+/** A shard with ten busy machines of 8 cores and a guarantee of 40 is asked for machines. */
+class MachineTransfersTest {
   private static final String TYPES =
       "{\"rigs\":[{\"label\":\"t\",\"cores\":8,\"cards\":0,\"ram_gb\":8,\"cache_gb\":9,"
           + "\"pull_gb_per_s\":1,\"rate\":1,\"low_price\":0.5,\"ready_s\":5,\"yards\":[\"a\"]}]}";
 
-  private final Loop loop =
-      new Loop() {
+  private final EventLoop loop =
+      new EventLoop() {
         @Override
         public long nowMs() {
           return 1_000;
@@ -49,7 +49,7 @@
   private final Fleet.Host host =
       new Fleet.Host() {
         @Override
-        public void touch(Unit unit) {}
+        public void touch(PendingWrite unit) {}
 
         @Override
         public void gone(Machine machine) {}
@@ -64,9 +64,9 @@
       };
 
   private CloudClient cloud;
-  private Catalog catalog;
+  private MachineTypeCatalog catalog;
   private Fleet fleet;
-  private Loans loans;
+  private MachineTransfers loans;
 
   @BeforeEach
   void tenMachines() {
@@ -74,31 +74,31 @@
         (address, method, path, body, limitMs, done) ->
             done.accept(new Web.Reply(200, TYPES.getBytes(StandardCharsets.UTF_8)));
     cloud = new CloudClient(loop, web, "cloud:1", 10, 1);
-    catalog = new Catalog(loop, cloud, List.of("a"));
+    catalog = new MachineTypeCatalog(loop, cloud, List.of("a"));
     catalog.start();
     fleet = new Fleet(loop, cloud, catalog, 0, 7, host);
     List<String> names = new ArrayList<>();
     for (int i = 0; i < 10; i++) {
       names.add("m" + i);
     }
-    HireRecord hire = new HireRecord("t", "a", true, 10, names, null);
-    Directory directory = new Directory();
-    String key = HireRecord.prefix(0) + "h";
-    directory.changed(key, new Stored(Json.tree(hire), 5));
+    RentalRecord hire = new RentalRecord("t", "a", true, 10, names, null);
+    MachineIndex directory = new MachineIndex();
+    String key = RentalRecord.prefix(0) + "h";
+    directory.changed(key, new VersionedValue(Json.tree(hire), 5));
     fleet.restore("h", hire, 5, directory, false);
     fleet.machines().forEach(m -> m.confirmed = true);
-    loans = new Loans(0, loop, fleet, 40, (part, request, done) -> {});
+    loans = new MachineTransfers(0, loop, fleet, 40, (shard, request, done) -> {});
   }
 
   private int lend(int count, double guaranteeShare) {
     return loans.lend(1, new MachineRequest(count, guaranteeShare, null)).count();
   }
 
-  private long promisedTo(int part) {
-    return fleet.machines().stream().filter(m -> m.promisedTo == part).count();
+  private long promisedTo(int shard) {
+    return fleet.machines().stream().filter(m -> m.promisedTo == shard).count();
   }
 
-  @ParameterizedTest(name = "asked for {0} by a part that has {1} of its guarantee: {2} promised")
+  @ParameterizedTest(name = "asked for {0} by a shard that has {1} of its guarantee: {2} promised")
   @CsvSource({
     "3,1.0,0", // has all of it: idle machines only
     "3,0.9,3", "8,0.9,5", // what is above the own guarantee, and no more
@@ -119,7 +119,7 @@
 
   @Test
   void aStarvedPartGetsAShareOfWhatIsNotEnoughForEither() {
-    loans = new Loans(0, loop, fleet, 100, (part, request, done) -> {});
+    loans = new MachineTransfers(0, loop, fleet, 100, (shard, request, done) -> {});
     assertThat(lend(9, 0.9)).isZero();
     assertThat(lend(9, 0.2)).isEqualTo(3);
   }
@@ -144,17 +144,17 @@
     assertThat(promisedTo(1)).isEqualTo(vacated);
   }
 
-  /** A part that has just got a machine for an overdue task does not lose it to the next one. */
+  /** A shard that has just got a machine for an overdue task does not lose it to the next one. */
   @Test
   void keepsAMachineThatItHasJustReceived() {
-    HireRecord record = new HireRecord("t", "a", true, 1, List.of("received"), 6L);
-    Directory directory = new Directory();
-    String key = HireRecord.prefix(0) + "g";
-    directory.changed(key, new Stored(Json.tree(record), 6));
+    RentalRecord record = new RentalRecord("t", "a", true, 1, List.of("received"), 6L);
+    MachineIndex directory = new MachineIndex();
+    String key = RentalRecord.prefix(0) + "g";
+    directory.changed(key, new VersionedValue(Json.tree(record), 6));
     Fleet one = new Fleet(loop, cloud, catalog, 0, 7, host);
     one.restore("g", record, 6, directory, false);
     one.machines().forEach(m -> m.confirmed = true);
-    loans = new Loans(0, loop, one, 0, (part, request, done) -> {});
+    loans = new MachineTransfers(0, loop, one, 0, (shard, request, done) -> {});
     assertThat(loans.lend(1, overdue(2, null, true, 1)).overdueCount()).isZero();
   }
 
--- a/src/test/java/dev/windbend/part/OldestWaitTest.java
+++ b/src/test/java/dev/windbend/shard/OldestWaitingJobTest.java
@@ -1,11 +1,11 @@
-package dev.windbend.part;
+package dev.windbend.shard;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-class OldestWaitTest {
+class OldestWaitingJobTest {
   @ParameterizedTest(name = "{8}")
   @CsvSource(
       delimiter = '|',
@@ -29,7 +29,8 @@
       boolean refused,
       String reason) {
     assertThat(
-            OldestWait.reason(backOffMs, usedAtLimit, limit, room, booting, asked, unsure, refused))
+            OldestWaitingJob.reason(
+                backOffMs, usedAtLimit, limit, room, booting, asked, unsure, refused))
         .isEqualTo(reason);
   }
 }
--- a/src/test/java/dev/windbend/store/PagesTest.java
+++ b/src/test/java/dev/windbend/store/PagedStoreTest.java
@@ -12,11 +12,11 @@
 import org.junit.jupiter.api.Test;
 
 /** Entries in pages against a store that knows versions; writes may be lost, or land late. */
-class PagesTest {
+class PagedStoreTest {
   private static final int BYTES = 1_024;
 
   /** Keeps a number, in some bytes. */
-  private static final class Counter implements Entry {
+  private static final class Counter implements PageEntry {
     final String id;
     final int bytes;
     int value;
@@ -55,7 +55,7 @@
     }
 
     @Override
-    public void begin(Draft draft) {
+    public void begin(TransactionBuilder draft) {
       writing = value;
     }
 
@@ -76,12 +76,12 @@
     }
 
     @Override
-    public void reread(Stored now) {}
+    public void reread(VersionedValue now) {}
   }
 
-  private final Map<String, Stored> store = new LinkedHashMap<>();
+  private final Map<String, VersionedValue> store = new LinkedHashMap<>();
   private final List<Counter> all = new ArrayList<>();
-  private final Pages pages = new Pages("w/p/0/", BYTES, 8);
+  private final PagedStore pages = new PagedStore("w/p/0/", BYTES, 8);
   private long revision;
 
   @BeforeEach
@@ -98,14 +98,14 @@
     }
   }
 
-  private Draft fill() {
-    Draft d = new Draft();
+  private TransactionBuilder fill() {
+    TransactionBuilder d = new TransactionBuilder();
     pages.fill(d);
     return d;
   }
 
   /** Whether all conditions held. */
-  private boolean apply(Draft d) {
+  private boolean apply(TransactionBuilder d) {
     for (StoreMessages.Condition c : d.conditions) {
       long is = store.containsKey(c.key()) ? store.get(c.key()).version() : 0;
       if (is != c.version()) {
@@ -115,7 +115,7 @@
     revision++;
     for (StoreMessages.Change c : d.changes) {
       assertThat(Json.write(c.value()).length).isLessThanOrEqualTo(BYTES);
-      store.put(c.put(), new Stored(c.value(), revision));
+      store.put(c.put(), new VersionedValue(c.value(), revision));
     }
     return true;
   }
@@ -123,7 +123,7 @@
   private int write() {
     int changes = 0;
     while (pages.dirty()) {
-      Draft d = fill();
+      TransactionBuilder d = fill();
       changes += d.size();
       if (apply(d)) {
         pages.written(revision);
@@ -138,7 +138,7 @@
   }
 
   private void successorFindsAll() {
-    Map<String, JsonNode> found = new Pages("w/p/0/", BYTES, 8).restore(store);
+    Map<String, JsonNode> found = new PagedStore("w/p/0/", BYTES, 8).restore(store);
     for (Counter c : all) {
       if (c.written > 0 && !c.over) {
         assertThat(found.get(c.id).asText()).as(c.id).isEqualTo(c.snapshot());
@@ -165,7 +165,7 @@
     change(0, 1);
     write();
     change(0);
-    Draft lost = fill();
+    TransactionBuilder lost = fill();
     pages.unwritten();
     change(0, 1);
     write();
@@ -191,13 +191,13 @@
     write();
     change(2);
     write();
-    Pages next = new Pages("w/p/0/", BYTES, 8);
+    PagedStore next = new PagedStore("w/p/0/", BYTES, 8);
     next.restore(store);
     all.forEach(next::restored);
     next.allRestored();
     all.get(1).value++;
     next.touch(all.get(1));
-    Draft d = new Draft();
+    TransactionBuilder d = new TransactionBuilder();
     next.fill(d);
     assertThat(apply(d)).isTrue();
     next.written(revision);
