--- a/src/main/java/dev/windbend/daemon/Main.java
+++ b/src/main/java/dev/windbend/daemon/Main.java
@@ -4,64 +4,78 @@
 import io.undertow.Undertow;
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
-import java.nio.file.Path;
 import java.util.Locale;
-import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
 import org.xnio.XnioWorker;
-import picocli.CommandLine;
-import picocli.CommandLine.Command;
-import picocli.CommandLine.Option;
 
 /** The command line. */
-@Command(
-    name = "windbend",
-    mixinStandardHelpOptions = true,
-    versionProvider = Main.Version.class,
-    description = "A controller of the windbend cluster scheduler.",
-    footer = {
-      "",
-      "The environment variable LOG_LEVEL (error, warn, info, debug) sets how much is logged.",
-      "Exit codes: 2 for a wrong command line or settings, 1 for other failures."
-    })
-public final class Main implements Callable<Integer> {
+public final class Main {
   private static final int BUFFER = 8_192;
   private static final int BUFFERS = 64;
+  private static final int EXIT_OK = 0;
+  private static final int EXIT_FAILURE = 1;
+  private static final int EXIT_USAGE = 2;
 
-  @Option(names = "--config", paramLabel = "FILE", description = "the platform's settings (TOML)")
-  private Path config;
+  private final boolean rehearse;
 
-  @Option(
-      names = "--settings",
-      paramLabel = "FILE",
-      description = "the operators' own settings (INI)")
-  private Path own;
-
-  @Option(
-      names = "--rehearse",
-      hidden = true,
-      description = "run for a moment against stand-ins, so that a class archive can be made")
-  private boolean rehearse;
-
-  static final class Version implements CommandLine.IVersionProvider {
-    @Override
-    public String[] getVersion() {
-      String v = Main.class.getPackage().getImplementationVersion();
-      return new String[] {"windbend " + (v == null ? "(unpackaged)" : v)};
-    }
+  private Main(boolean rehearse) {
+    this.rehearse = rehearse;
   }
 
-  public static void main(String[] args) {
+  public static void main(String[] args) throws IOException, InterruptedException {
     logging(System.getenv("LOG_LEVEL"));
-    int code = new CommandLine(new Main()).execute(args);
+    StartupProperties.set();
+    int code = run(args);
     if (code != RUNNING) {
       System.exit(code);
     }
   }
 
+  private static int run(String[] args) throws IOException, InterruptedException {
+    final Arguments arguments;
+    try {
+      arguments = Arguments.parse(args);
+    } catch (Arguments.Invalid e) {
+      System.err.println("windbend: " + e.getMessage());
+      System.err.print(Arguments.USAGE);
+      return EXIT_USAGE;
+    }
+    switch (arguments.action()) {
+      case HELP -> {
+        System.out.print(Arguments.USAGE);
+        return EXIT_OK;
+      }
+      case VERSION -> {
+        System.out.println("windbend " + version());
+        return EXIT_OK;
+      }
+      default -> {
+        return start(arguments);
+      }
+    }
+  }
+
+  private static String version() {
+    String version = Main.class.getPackage().getImplementationVersion();
+    return version == null ? "(unpackaged)" : version;
+  }
+
+  private static int start(Arguments arguments) throws IOException, InterruptedException {
+    boolean rehearse = arguments.action() == Arguments.Action.REHEARSE;
+    try {
+      Settings settings = rehearse ? Rehearsal.settings() : Settings.read(arguments.config());
+      Policy policy =
+          arguments.settings() == null ? Operator.defaults() : Operator.read(arguments.settings());
+      return new Main(rehearse).listen(settings, policy);
+    } catch (Settings.Invalid e) {
+      System.err.println("windbend: " + e.getMessage());
+      return EXIT_USAGE;
+    }
+  }
+
   /** Not an exit code: the loop's thread goes on. */
   private static final int RUNNING = -1;
 
@@ -77,26 +91,10 @@
     System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true");
   }
 
-  @Override
-  public Integer call() throws IOException, InterruptedException {
-    final Settings settings;
-    final Policy policy;
-    try {
-      if (rehearse) {
-        settings = Rehearsal.settings();
-      } else if (config == null) {
-        throw new Settings.Invalid("--config FILE is needed; see --help");
-      } else {
-        settings = Settings.read(config);
-      }
-      policy = own == null ? Operator.defaults() : Operator.read(own);
-    } catch (Settings.Invalid e) {
-      System.err.println("windbend: " + e.getMessage());
-      return CommandLine.ExitCode.USAGE;
-    }
+  private int listen(Settings settings, Policy policy) throws IOException, InterruptedException {
     // All that reads files is done before the worker's threads run, and the rest of the start on
-    // the
-    // loop's thread while this one waits. Where the platform rewrites the places that make system
+    // the loop's thread while this one waits. Where the platform rewrites the places that make
+    // system
     // calls often, two threads in the same one (libc's read) at that moment end the process.
     DefaultByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER, BUFFERS, 4);
     Undertow.builder();
@@ -117,7 +115,7 @@
                 serve(settings, policy, worker, buffers);
               } catch (RuntimeException e) {
                 System.err.println("windbend: cannot start: " + e);
-                System.exit(CommandLine.ExitCode.SOFTWARE);
+                System.exit(EXIT_FAILURE);
               }
               started.countDown();
             });
--- a/src/main/java/dev/windbend/daemon/Operator.java
+++ b/src/main/java/dev/windbend/daemon/Operator.java
@@ -15,12 +15,13 @@
   private static final String SHARD_SECTION = "shard";
   private static final String FORMER_SHARD_SECTION = "part";
 
+  /**
+   * Known without reading INI: a controller that starts with little processor time needs it not.
+   */
+  private static final Policy DEFAULTS = new Policy(10_000, true, 60_000, 4, 4_000, true, 0.7);
+
   public static Policy defaults() {
-    try {
-      return parse("");
-    } catch (Settings.Invalid e) {
-      throw new IllegalStateException(e);
-    }
+    return DEFAULTS;
   }
 
   public static Policy read(Path file) throws Settings.Invalid {
@@ -43,13 +44,13 @@
           "[" + FORMER_SHARD_SECTION + "] is now called [" + SHARD_SECTION + "]");
     }
     return new Policy(
-        millis(ini, "plan", "period_s", 10, 0.5),
-        flag(ini, "plan", "rounds_on_events", true),
-        millis(ini, "plan", "block_s", 60, 1),
-        number(ini, "plan", "implied_due", 4, 1),
-        millis(ini, SHARD_SECTION, "hold_s", 4, 1),
-        flag(ini, "plan", "due_from_aims", true),
-        number(ini, "worker", "idle_hold", 0.7, 0));
+        millis(ini, "plan", "period_s", DEFAULTS.periodMs(), 0.5),
+        flag(ini, "plan", "rounds_on_events", DEFAULTS.roundsOnEvents()),
+        millis(ini, "plan", "block_s", DEFAULTS.blockMs(), 1),
+        number(ini, "plan", "implied_due", DEFAULTS.impliedDue(), 1),
+        millis(ini, SHARD_SECTION, "hold_s", DEFAULTS.holdMs(), 1),
+        flag(ini, "plan", "due_from_aims", DEFAULTS.dueFromAims()),
+        number(ini, "worker", "idle_hold", DEFAULTS.idleHold(), 0));
   }
 
   private static String get(Ini ini, String section, String key) {
@@ -57,9 +58,9 @@
     return s == null ? null : s.get(key);
   }
 
-  private static long millis(Ini ini, String section, String key, double or, double least)
+  private static long millis(Ini ini, String section, String key, long orMs, double leastS)
       throws Settings.Invalid {
-    return Math.round(1000 * number(ini, section, key, or, least));
+    return Math.round(1000 * number(ini, section, key, orMs / 1000.0, leastS));
   }
 
   private static double number(Ini ini, String section, String key, double or, double least)
--- /dev/null
+++ b/src/test/java/dev/windbend/daemon/ArgumentsTest.java
@@ -0,0 +1,44 @@
+package dev.windbend.daemon;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The command line: words are separated by blanks here. */
+class ArgumentsTest {
+
+  @ParameterizedTest(name = "{0}")
+  @CsvSource({
+    "--config a.toml,RUN,a.toml,",
+    "--config=a.toml,RUN,a.toml,",
+    "--settings own.ini --config a.toml,RUN,a.toml,own.ini",
+    "--help,HELP,,",
+    "-h --config a.toml,HELP,a.toml,",
+    "-V,VERSION,,",
+    "--help --version,HELP,,",
+    "--rehearse,REHEARSE,,",
+  })
+  void reads(String words, Arguments.Action action, String config, String settings)
+      throws Arguments.Invalid {
+    Arguments arguments = Arguments.parse(words.split(" "));
+    assertThat(arguments.action()).isEqualTo(action);
+    assertThat(String.valueOf(arguments.config())).isEqualTo(String.valueOf(config));
+    assertThat(String.valueOf(arguments.settings())).isEqualTo(String.valueOf(settings));
+  }
+
+  @ParameterizedTest(name = "{0}: {1}")
+  @CsvSource({
+    "--settings own.ini,--config FILE is needed",
+    "--config,Missing required parameter",
+    "--config a.toml --config b.toml,only once",
+    "--config a.toml b.toml,Unknown option: 'b.toml'",
+    "--quiet --config a.toml,Unknown option: '--quiet'",
+  })
+  void namesWhatIsWrong(String words, String message) {
+    assertThatThrownBy(() -> Arguments.parse(words.split(" ")))
+        .isInstanceOf(Arguments.Invalid.class)
+        .hasMessageContaining(message);
+  }
+}
