The eight meetings that had no case; the scheduling loop in four classes

Removed: a second sum of what teams use, a second test of what fits a machine (it ignored zones and types), the drift of clocks and the most cancellations told, each there twice, and Replica.firstRevision, which nothing read.

--- a/src/main/java/dev/windbend/daemon/io/EventLoop.java
+++ b/src/main/java/dev/windbend/daemon/io/EventLoop.java
@@ -2,6 +2,12 @@
 
 /** The one thread that owns all state: its clocks and its timers. Tests put virtual time here. */
 public interface EventLoop {
+  /**
+   * The share by which durations that two machines measure may differ: twice the drift that the
+   * protocol allows, to be safe.
+   */
+  double CLOCK_DRIFT = 0.001;
+
   /** Steady clock; only differences mean anything. */
   long nowMs();
 
--- a/src/main/java/dev/windbend/job/Cancellations.java
+++ b/src/main/java/dev/windbend/job/Cancellations.java
@@ -15,7 +15,7 @@
  */
 public final class Cancellations {
   /** More than that is not told: whoever lags so far lets the leases of its workers end. */
-  static final int MOST = 500;
+  public static final int MOST_TOLD = 500;
 
   private final Replica replica;
   private final Consumer<String> known;
@@ -82,7 +82,7 @@
                 }
               }
             });
-    return all.size() > MOST ? null : all;
+    return all.size() > MOST_TOLD ? null : all;
   }
 
   /** This node knows of all cancellations up to this revision. */
--- a/src/main/java/dev/windbend/machine/MachineTypeCatalog.java
+++ b/src/main/java/dev/windbend/machine/MachineTypeCatalog.java
@@ -72,4 +72,9 @@
     int i = typeNames.find(name);
     return i < 0 ? null : types.get(i);
   }
+
+  /** The cores of the largest type; 1 before the types are known. */
+  public double largestCores() {
+    return all().stream().mapToDouble(MachineType::cores).max().orElse(1);
+  }
 }
--- a/src/main/java/dev/windbend/peer/Peers.java
+++ b/src/main/java/dev/windbend/peer/Peers.java
@@ -25,18 +25,12 @@
   private static final long FRESH_MS = 1_500;
   private static final long NEVER = Long.MIN_VALUE / 2;
 
-  /** Twice by how much steady clocks may differ, to be safe. */
-  private static final double DRIFT = 0.001;
-
   /** A worker sees that its lease has ended, and its tasks are killed. */
   private static final long KILL_MS = 900;
 
   /** Cancellations that come at once are told together. */
   private static final long TELL_GAP_MS = 50;
 
-  /** What is not told at once is heard of with the next change of the mirror, or asked for. */
-  private static final int MOST_TOLD = 500;
-
   private final EventLoop loop;
   private final Web web;
   private final StoreClient store;
@@ -93,7 +87,9 @@
    * as all count from when they were sent. Not above 0: workers are not kept at all.
    */
   public static long keepMs(double leaseS, double cancelS) {
-    return (long) (1000 * (cancelS * (1 - DRIFT) - leaseS * (1 + DRIFT))) - KILL_MS;
+    return (long)
+            (1000 * (cancelS * (1 - EventLoop.CLOCK_DRIFT) - leaseS * (1 + EventLoop.CLOCK_DRIFT)))
+        - KILL_MS;
   }
 
   public void start() {
@@ -108,7 +104,8 @@
     if (untold.isEmpty()) {
       loop.after(Math.max(0, tellFromMs - loop.nowMs()), this::tellAll);
     }
-    if (untold.size() < MOST_TOLD) {
+    // What is not told at once is heard of with the next change of the mirror, or asked for.
+    if (untold.size() < Cancellations.MOST_TOLD) {
       untold.add(cancelled);
     }
   }
--- a/src/main/java/dev/windbend/shard/OldestWaitingJob.java
+++ b/src/main/java/dev/windbend/shard/OldestWaitingJob.java
@@ -2,16 +2,21 @@
 
 import dev.windbend.job.Job;
 import dev.windbend.job.JobRegistry;
-import dev.windbend.job.Placement;
 import dev.windbend.machine.Fleet;
 import dev.windbend.machine.Machine;
+import dev.windbend.machine.TaskRequirements;
 
 /** Which job of a shard has waited longest for room, and what for: told to operators. */
 record OldestWaitingJob(String uid, long ageS, String reason) {
 
   /** Null: none waits. */
   static OldestWaitingJob find(
-      JobRegistry board, Fleet fleet, Facts facts, long nowMs, long wallMs) {
+      JobRegistry board,
+      Fleet fleet,
+      Facts facts,
+      OverdueJobs overdueJobs,
+      long nowMs,
+      long wallMs) {
     Job oldest = null;
     for (Job j : board.all()) {
       if (j.waitingCount() > 0 && (oldest == null || j.submittedWallMs < oldest.submittedWallMs)) {
@@ -21,14 +26,10 @@
     if (oldest == null) {
       return null;
     }
-    double used = 0;
-    double usedCards = 0;
-    for (Job j : board.all()) {
-      if (j.team == oldest.team) {
-        used += j.placements().size() * j.spec.cores();
-        usedCards += j.placements().size() * j.spec.cards();
-      }
-    }
+    int teams = facts.teams().size();
+    double used = TeamUsage.cores(board.all(), teams)[oldest.team];
+    double usedCards = TeamUsage.cards(board.all(), teams)[oldest.team];
+    TaskRequirements task = overdueJobs.requirements(oldest);
     Facts.TeamFact team = facts.teams().get(oldest.team);
     int booting = 0;
     int unsure = 0;
@@ -36,7 +37,7 @@
     for (Machine m : fleet.machines()) {
       booting += m.seenMs < 0 ? 1 : 0;
       unsure += m.seenMs >= 0 && !m.usable(nowMs) ? 1 : 0;
-      room |= m.usable(nowMs) && fits(oldest, m);
+      room |= m.usable(nowMs) && task.hasRoomOn(m);
     }
     int asked = fleet.pending().stream().mapToInt(Fleet.Pending::count).sum();
     boolean atLimit =
@@ -56,21 +57,6 @@
             fleet.refusedSome()));
   }
 
-  private static boolean fits(Job j, Machine m) {
-    double cores = m.type.cores();
-    double cards = m.type.cards();
-    double ram = m.type.ram();
-    for (Placement p : m.tasks.values()) {
-      cores -= p.job.spec.cores();
-      cards -= p.job.spec.cards();
-      ram -= p.job.spec.ram();
-    }
-    return cores + 1e-6 >= j.spec.cores()
-        && cards + 1e-6 >= j.spec.cards()
-        && ram + 1e-6 >= j.spec.ram()
-        && (j.spec.spot() || !m.spot);
-  }
-
   /**
    * @param backOffMs until it may be tried again, as its tasks fail everywhere; not above 0: now
    * @param usedAtLimit what its team uses, if another task would be over the limit; else -1
--- a/src/main/java/dev/windbend/shard/ShardLog.java
+++ b/src/main/java/dev/windbend/shard/ShardLog.java
@@ -18,6 +18,7 @@
   private final JobRegistry board;
   private final Fleet fleet;
   private final Facts facts;
+  private final OverdueJobs overdueJobs;
   private final long periodMs;
   private final SchedulingLoop rounds;
   private final PagedStore pages;
@@ -30,6 +31,7 @@
       JobRegistry board,
       Fleet fleet,
       Facts facts,
+      OverdueJobs overdueJobs,
       long periodMs,
       SchedulingLoop rounds,
       PagedStore pages) {
@@ -38,6 +40,7 @@
     this.board = board;
     this.fleet = fleet;
     this.facts = facts;
+    this.overdueJobs = overdueJobs;
     this.periodMs = periodMs;
     this.rounds = rounds;
     this.pages = pages;
@@ -97,7 +100,8 @@
         unsure,
         rounds.costMs(),
         pages.used());
-    OldestWaitingJob oldest = OldestWaitingJob.find(board, fleet, facts, now, loop.wallMs());
+    OldestWaitingJob oldest =
+        OldestWaitingJob.find(board, fleet, facts, overdueJobs, now, loop.wallMs());
     oldestWaitS = oldest == null ? 0 : (int) oldest.ageS();
     if (oldest != null) {
       LOG.info(
--- a/src/main/java/dev/windbend/shard/ShardOwner.java
+++ b/src/main/java/dev/windbend/shard/ShardOwner.java
@@ -137,14 +137,17 @@
     this.watch = new MachineHealth(fleet, catalog.zones.size(), facts.reportS(), facts.leaseS());
     this.loans =
         new MachineTransfers(shard, loop, fleet, guaranteedCores(with.layout), with.lender);
+    OverdueJobs overdueJobs = new OverdueJobs(catalog, facts, board, fleet);
+    SnapshotBuilder snapshots =
+        new SnapshotBuilder(
+            loop, catalog, facts, policy, estimates, images, board, fleet, overdueJobs);
     this.rounds =
         new SchedulingLoop(
             loop,
             catalog,
-            facts,
             policy,
-            estimates,
-            images,
+            snapshots,
+            overdueJobs,
             board,
             fleet,
             loans,
@@ -161,7 +164,9 @@
             facts.reportS(),
             facts.leaseS(),
             policy.idleHold());
-    this.log = new ShardLog(shard, loop, board, fleet, facts, policy.periodMs(), rounds, pages);
+    this.log =
+        new ShardLog(
+            shard, loop, board, fleet, facts, overdueJobs, policy.periodMs(), rounds, pages);
   }
 
   private int teamHere(ShardLayout layout, String name) {
@@ -372,7 +377,7 @@
   @Override
   public void completed(Placement p, long nowMs) {
     if (p.runningMs >= 0) {
-      estimates.finished(SchedulingLoop.user(p.job), (nowMs - p.runningMs) / 1000.0);
+      estimates.finished(SnapshotBuilder.user(p.job), (nowMs - p.runningMs) / 1000.0);
     }
   }
 
--- a/src/main/java/dev/windbend/shard/ShardOwnership.java
+++ b/src/main/java/dev/windbend/shard/ShardOwnership.java
@@ -19,9 +19,6 @@
   private static final Logger LOG = LoggerFactory.getLogger(ShardOwnership.class);
   public static final String KEYS = "w/c/";
 
-  /** Clocks may run this much apart; twice the allowed drift, to be safe. */
-  private static final double DRIFT = 0.001;
-
   private static final long MARGIN_MS = 150;
   private static final long STEP_MS = 250;
   private static final long RANK_PAUSE_MS = 600;
@@ -130,7 +127,7 @@
   }
 
   private void valid(long sentMs) {
-    validUntilMs = sentMs + (long) (lifeMs * (1 - DRIFT)) - MARGIN_MS;
+    validUntilMs = sentMs + (long) (lifeMs * (1 - EventLoop.CLOCK_DRIFT)) - MARGIN_MS;
   }
 
   private void renewLater(long ms) {
--- /dev/null
+++ b/src/main/java/dev/windbend/shard/SnapshotBuilder.java
@@ -0,0 +1,294 @@
+package dev.windbend.shard;
+
+import dev.windbend.daemon.io.EventLoop;
+import dev.windbend.daemon.io.Names;
+import dev.windbend.job.Job;
+import dev.windbend.job.JobRegistry;
+import dev.windbend.job.Placement;
+import dev.windbend.machine.Fleet;
+import dev.windbend.machine.Machine;
+import dev.windbend.machine.MachineType;
+import dev.windbend.machine.MachineTypeCatalog;
+import dev.windbend.plan.Deadlines;
+import dev.windbend.plan.Estimates;
+import dev.windbend.plan.Snapshot;
+import it.unimi.dsi.fastutil.ints.IntOpenHashSet;
+import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/** Builds what a planning round looks at from the shard's jobs and machines. */
+final class SnapshotBuilder {
+  private static final int RENTAL = 50;
+  private static final long IDLE_MS = 10_000;
+  private static final double LATELY_S = 60;
+  private static final double BOOT_PATIENCE = 2.5;
+  private static final double BOOT_LATE = 1.5;
+
+  private final EventLoop loop;
+  private final MachineTypeCatalog catalog;
+  private final Facts facts;
+  private final Policy policy;
+  private final Estimates estimates;
+  private final Names images;
+  private final JobRegistry board;
+  private final Fleet fleet;
+  private final OverdueJobs overdueJobs;
+
+  SnapshotBuilder(
+      EventLoop loop,
+      MachineTypeCatalog catalog,
+      Facts facts,
+      Policy policy,
+      Estimates estimates,
+      Names images,
+      JobRegistry board,
+      Fleet fleet,
+      OverdueJobs overdueJobs) {
+    this.loop = loop;
+    this.catalog = catalog;
+    this.facts = facts;
+    this.policy = policy;
+    this.estimates = estimates;
+    this.images = images;
+    this.board = board;
+    this.fleet = fleet;
+    this.overdueJobs = overdueJobs;
+  }
+
+  /**
+   * @param oldestFirst the long overdue are served first
+   * @param running filled with the tasks of each machine, in the order that the snapshot has
+   */
+  Snapshot build(
+      long now,
+      boolean oldestFirst,
+      List<Job> works,
+      List<Machine> machines,
+      List<Snapshot.Offer> offers,
+      List<List<Placement>> running) {
+    // Everything not proved gone counts, wherever it is.
+    double[] cores = TeamUsage.cores(board.all(), facts.teams().size());
+    double[] cards = TeamUsage.cards(board.all(), facts.teams().size());
+    List<Snapshot.Team> teams = new ArrayList<>();
+    for (int i = 0; i < cores.length; i++) {
+      Facts.TeamFact t = facts.teams().get(i);
+      teams.add(new Snapshot.Team(t.coresMost(), t.cardsMost(), cores[i], cards[i]));
+    }
+    Object2IntOpenHashMap<String> roomOf = new Object2IntOpenHashMap<>();
+    List<Snapshot.Room> rooms = new ArrayList<>();
+    for (Machine m : machines) {
+      roomOf.put(m.name, rooms.size());
+      List<Placement> on = new ArrayList<>(m.tasks.values());
+      // What is stopped without grace is gone before the next start on its machine.
+      on.removeIf(p -> p.stopGraceS == 0);
+      running.add(on);
+      rooms.add(room(m, on, now));
+    }
+    for (Fleet.Pending p : fleet.pending()) {
+      for (int i = 0; i < p.count(); i++) {
+        rooms.add(pendingRoom(p, now));
+      }
+    }
+    List<Snapshot.Work> views = new ArrayList<>();
+    Set<Job> guaranteed = facts.aims().guaranteeS() > 0 ? guaranteed() : Set.of();
+    works.forEach(j -> views.add(work(j, now, roomOf, guaranteed)));
+    // The cap is on calls to the cloud, and one call rents many.
+    double calls = facts.cloudRps() * policy.periodMs() / 1000.0 / facts.nodes();
+    return new Snapshot(
+        now,
+        policy.periodMs(),
+        (long) (2_000 * facts.reportS()),
+        RENTAL * (int) Math.max(1, calls),
+        oldestFirst,
+        cameLately(),
+        teams,
+        views,
+        rooms,
+        offers);
+  }
+
+  /** The cores of the jobs that came while a machine could have booted. */
+  private double cameLately() {
+    double bootS = catalog.all().stream().mapToDouble(MachineType::bootS).max().orElse(0);
+    double lately = 1000 * Math.max(LATELY_S, bootS);
+    double cores = 0;
+    for (Job j : board.all()) {
+      cores += loop.wallMs() - j.submittedWallMs <= lately ? j.spec.tasks() * j.spec.cores() : 0;
+    }
+    return cores;
+  }
+
+  /** Jobs that fit into their team's guarantee together with the team's earlier ones. */
+  private Set<Job> guaranteed() {
+    List<Job> jobs = new ArrayList<>(board.all());
+    jobs.sort(Comparator.comparingLong(j -> j.submittedWallMs));
+    double[] cores = new double[facts.teams().size()];
+    double[] cards = new double[cores.length];
+    Set<Job> all = new HashSet<>();
+    for (Job j : jobs) {
+      int open = j.waitingCount() + j.placements().size();
+      cores[j.team] += open * j.spec.cores();
+      cards[j.team] += open * j.spec.cards();
+      Facts.TeamFact t = facts.teams().get(j.team);
+      if (cores[j.team] <= t.cores() + 1e-6 && cards[j.team] <= t.cards() + 1e-6) {
+        all.add(j);
+      }
+    }
+    return all;
+  }
+
+  private Snapshot.Room room(Machine m, List<Placement> on, long now) {
+    MachineType t = m.type;
+    Snapshot.Size free = new Snapshot.Size(t.cores(), t.cards(), t.ram());
+    List<Snapshot.Running> running = new ArrayList<>();
+    for (Placement p : on) {
+      Snapshot.Size size = size(p.job);
+      free = free.minus(size);
+      running.add(
+          new Snapshot.Running(
+              expectedEnd(p, t, now), size, p.job.spec.urgency().ordinal(), lostMs(p, now)));
+    }
+    boolean up = m.usable(now);
+    long sinceS = (now - m.rentedMs) / 1000;
+    long ready =
+        m.seenMs >= 0
+            ? now + 1_000
+            : sinceS > BOOT_LATE * t.bootS()
+                ? now + (long) (1000 * BOOT_PATIENCE * t.bootS())
+                : Math.max(m.rentedMs + (long) (1000 * t.bootS()), now + 1_000);
+    long block = policy.blockMs();
+    // The block in which it went idle (or now, if it is busy) is paid to its end.
+    long ref = m.idleSinceMs >= 0 ? m.idleSinceMs : now;
+    long blocks = Math.max(1, (Math.max(0, ref - m.rentedMs) + block - 1) / block);
+    return new Snapshot.Room(
+        t.index(),
+        m.zone,
+        m.spot,
+        up,
+        m.listening ? 0 : Math.max(0, m.seenMs + (long) (1000 * facts.reportS()) - now),
+        free,
+        ready,
+        m.tasks.isEmpty(),
+        m.rentedMs + blocks * block,
+        Math.max(m.rentedMs + block, (m.idleSinceMs >= 0 ? m.idleSinceMs : now) + IDLE_MS),
+        m.spot ? t.spotPrice() : t.price(),
+        t.fetchGbPerS(),
+        m.images,
+        running);
+  }
+
+  /** What stopping it at once would lose; -1: it is being stopped, or its state is not known. */
+  private static long lostMs(Placement p, long now) {
+    if (p.stopping() || p.inherited && !p.seen) {
+      return -1;
+    }
+    long ran = p.runningMs < 0 ? 0 : now - p.runningMs;
+    long step = (long) (1000 * p.job.spec.checkpointS());
+    return step > 0 ? ran % step : ran;
+  }
+
+  private Snapshot.Room pendingRoom(Fleet.Pending p, long now) {
+    MachineType t = p.type();
+    long ready = Math.max(p.sinceMs() + (long) (1000 * t.bootS()), now + 1_000);
+    return new Snapshot.Room(
+        t.index(),
+        p.zone(),
+        p.spot(),
+        false,
+        0,
+        new Snapshot.Size(t.cores(), t.cards(), t.ram()),
+        ready,
+        false,
+        ready,
+        ready,
+        p.spot() ? t.spotPrice() : t.price(),
+        t.fetchGbPerS(),
+        new IntOpenHashSet(),
+        List.of());
+  }
+
+  private static Snapshot.Size size(Job j) {
+    return new Snapshot.Size(j.spec.cores(), j.spec.cards(), j.spec.ram());
+  }
+
+  private double estimateS(Job j) {
+    return Math.max(1, estimates.of(user(j), j.spec.estimateS()));
+  }
+
+  /** Whose recent times tell how long a task will run. */
+  static String user(Job job) {
+    return job.spec.team() + "/" + job.spec.kind();
+  }
+
+  private long expectedEnd(Placement p, MachineType t, long now) {
+    if (p.stopping()) {
+      return now + (long) (1000 * p.stopGraceS) + 1_000;
+    }
+    double e = estimateS(p.job);
+    if (p.runningMs < 0) {
+      return p.placedMs
+          + (long) (1000 * (e + p.job.spec.imageGb() / Math.max(0.01, t.fetchGbPerS())));
+    }
+    return p.runningMs + (long) (1000 * Estimates.corrected(e, (now - p.runningMs) / 1000.0));
+  }
+
+  private Snapshot.Work work(
+      Job j, long now, Object2IntOpenHashMap<String> roomOf, Set<Job> guaranteed) {
+    boolean[] types = null;
+    if (j.spec.types() != null) {
+      types = new boolean[catalog.all().size()];
+      for (MachineType t : catalog.all()) {
+        types[t.index()] = j.spec.types().contains(t.name());
+      }
+    }
+    IntOpenHashSet avoid = new IntOpenHashSet();
+    for (String m : j.failedOn) {
+      if (roomOf.containsKey(m)) {
+        avoid.add(roomOf.getInt(m));
+      }
+    }
+    double[] limits =
+        facts
+            .aims()
+            .limits(
+                j.spec.kind(),
+                j.spec.dueS(),
+                policy.impliedDue() * j.spec.estimateS(),
+                policy.dueFromAims());
+    long age = loop.wallMs() - j.submittedWallMs;
+    double estimateS = estimateS(j);
+    double startS =
+        Math.max(
+            facts.aims().waitS().getOrDefault(j.spec.kind(), 0.0),
+            guaranteed.contains(j) ? facts.aims().guaranteeS() : 0);
+    Deadlines due = Deadlines.next(limits, age / 1000.0, estimateS);
+    return new Snapshot.Work(
+        j.team,
+        j.spec.urgency().ordinal(),
+        size(j),
+        types,
+        j.spec.zone() == null ? -1 : catalog.zones.index(j.spec.zone()),
+        j.spec.together(),
+        j.spec.spread(),
+        j.spec.spot(),
+        images.index(j.spec.image()),
+        j.spec.imageGb(),
+        j.spec.tasks(),
+        j.waitingCount(),
+        overdueJobs.placedPerZone(j),
+        (long) (1000 * estimateS),
+        now - age + (long) (1000 * due.dueS()),
+        due.hopeless(),
+        guaranteed.contains(j),
+        now - age + (long) (1000 * startS),
+        age,
+        j.begun(),
+        OverdueJobs.overdue(j, now),
+        j.notBeforeMs,
+        avoid);
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/windbend/shard/TeamUsage.java
@@ -0,0 +1,26 @@
+package dev.windbend.shard;
+
+import dev.windbend.job.Job;
+import java.util.Collection;
+import java.util.function.ToDoubleFunction;
+
+/** What each team's tasks use. All that is not proved gone counts, wherever it is. */
+final class TeamUsage {
+  private TeamUsage() {}
+
+  static double[] cores(Collection<Job> jobs, int teams) {
+    return sum(jobs, teams, job -> job.spec.cores());
+  }
+
+  static double[] cards(Collection<Job> jobs, int teams) {
+    return sum(jobs, teams, job -> job.spec.cards());
+  }
+
+  private static double[] sum(Collection<Job> jobs, int teams, ToDoubleFunction<Job> ofOneTask) {
+    double[] used = new double[teams];
+    for (Job job : jobs) {
+      used[job.team] += job.placements().size() * ofOneTask.applyAsDouble(job);
+    }
+    return used;
+  }
+}
--- a/src/main/java/dev/windbend/store/Replica.java
+++ b/src/main/java/dev/windbend/store/Replica.java
@@ -23,7 +23,6 @@
   private final TreeMap<String, VersionedValue> keys = new TreeMap<>();
   private final List<Listener> listeners = new ArrayList<>();
   private long revision = -1;
-  private long firstRevision = -1;
   private long completeMs = Long.MIN_VALUE / 2;
   private boolean synced;
 
@@ -60,11 +59,6 @@
     return completeMs;
   }
 
-  /** The mirror was first read at this revision. */
-  public long firstRevision() {
-    return firstRevision;
-  }
-
   public VersionedValue get(String key) {
     return keys.get(key);
   }
@@ -98,7 +92,6 @@
             }
           }
           revision = start;
-          firstRevision = synced ? firstRevision : start;
           synced = true;
           LOG.info("mirror read: {} keys at revision {}", keys.size(), start);
           follow();
--- a/src/test/java/dev/windbend/daemon/MeetingsTest.java
+++ b/src/test/java/dev/windbend/daemon/MeetingsTest.java
@@ -10,6 +10,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
@@ -364,6 +365,120 @@
               each(w, 20_000, 15_000, 5, () -> crash(w, 2_500, w.random.nextInt(3)));
               each(w, 24_000, 9_000, 6, () -> w.cancelNow(1, null));
               w.time.at(110_000, () -> w.lateWrites = 0);
+            }),
+        meeting(
+            "one-task jobs come four a second for minutes, a quarter of them cancelled",
+            w -> {
+              w.capacity = 45;
+              for (int n = 0; n < 480; n++) {
+                SimulatedCluster.User user = w.new User(1_000 + n, 1, null, true, n % 4 == 3);
+                w.time.at(10_000 + 250L * n, user::submit);
+              }
+              each(w, 30_000, 30_000, 3, () -> crash(w, 3_000, w.random.nextInt(3)));
+            }),
+        meeting(
+            "a command of a leader that has ended or was deposed arrives after the new leader's",
+            w -> {
+              w.leastRunMs = 20_000;
+              w.lateCommands = 1;
+              each(
+                  w,
+                  25_000,
+                  17_000,
+                  6,
+                  () -> {
+                    w.cancelNow(2, null);
+                    crash(w, 9_000, number(w.owner(0)));
+                    w.time.at(6_000, () -> w.cancelNow(1, null));
+                  });
+            }),
+        meeting(
+            "jobs are cancelled in the seconds in which a shard changes hands",
+            w -> {
+              w.leastRunMs = 15_000;
+              each(
+                  w,
+                  20_000,
+                  20_000,
+                  5,
+                  () -> {
+                    crash(w, 9_000, number(w.owner(0)));
+                    each(w, 1, 600, 12, () -> w.cancelNow(1, null));
+                  });
+            }),
+        meeting(
+            "all teams at their limits, cancelled jobs' machines cut off or hung, a new leader",
+            w -> {
+              w.leastRunMs = 40_000;
+              w.capacity = 60;
+              each(
+                  w,
+                  30_000,
+                  35_000,
+                  3,
+                  () -> {
+                    List<StandInWorker> machines = w.cancelNow(3, null);
+                    hang(w, machines.subList(0, machines.size() / 2), 12_000);
+                    machines
+                        .subList(machines.size() / 2, machines.size())
+                        .forEach(m -> cutOff(w, m.name, List.of("n0", "n1", "n2")));
+                    crash(w, 8_000, number(w.owner(0)), number(w.owner(1)));
+                    w.time.at(10_000, w.cut::clear);
+                  });
+            }),
+        meeting(
+            "users look at all nodes within milliseconds, mirrors lag, nodes restart or are refused",
+            w -> {
+              w.closeLooks = true;
+              w.meetEnds = true;
+              w.slowStoreMs = 400;
+              each(w, 15_000, 7_000, 12, () -> w.cancelNow(1, null));
+              each(w, 20_000, 13_000, 6, () -> crash(w, 300, w.random.nextInt(3)));
+              each(w, 25_000, 20_000, 4, () -> w.store.deaf.add("n" + w.random.nextInt(3)));
+              each(w, 33_000, 20_000, 4, () -> w.store.deaf.clear());
+            }),
+        meeting(
+            "new machines are up within two seconds while writes lag, and the leader ends",
+            w -> {
+              w.bootMs = 200;
+              w.bootSpreadMs = 1_500;
+              w.slowStoreMs = 1_500;
+              w.time.at(5_500, () -> crash(w, 6_000, number(w.owner(0))));
+              each(
+                  w,
+                  20_000,
+                  15_000,
+                  6,
+                  () -> {
+                    takeOf(w, "a", 4);
+                    w.time.at(1_500, () -> crash(w, 6_000, number(w.owner(0))));
+                  });
+              w.time.at(120_000, () -> w.slowStoreMs = 0);
+            }),
+        meeting(
+            "a transaction is carried out at once and only its answer is lost",
+            w -> {
+              w.lostWriteAnswers = 0.15;
+              w.closeLooks = true;
+              w.meetEnds = true;
+              each(w, 20_000, 15_000, 5, () -> crash(w, 2_500, w.random.nextInt(3)));
+              each(w, 24_000, 9_000, 6, () -> w.cancelNow(1, null));
+              w.time.at(110_000, () -> w.lostWriteAnswers = 0);
+            }),
+        meeting(
+            "an old report reaches every controller just as a new leader begins",
+            w -> {
+              w.leastRunMs = 10_000;
+              each(
+                  w,
+                  20_000,
+                  20_000,
+                  5,
+                  () -> {
+                    Map<String, byte[]> old = w.reports();
+                    w.time.at(4_000, () -> crash(w, 9_000, number(w.owner(0))));
+                    each(w, 7_000, 250, 16, () -> w.deliverAgain(old));
+                  });
             }));
   }
 
--- a/src/test/java/dev/windbend/daemon/SimulatedCluster.java
+++ b/src/test/java/dev/windbend/daemon/SimulatedCluster.java
@@ -59,6 +59,23 @@
    */
   double lateWrites;
 
+  /** Chance that a change of the state service is carried out at once and its answer is lost. */
+  double lostWriteAnswers;
+
+  /** Chance that a direct command is held up, unanswered, and carried out 2 to 16 s later. */
+  double lateCommands;
+
+  /** Users look at all nodes within milliseconds after a job was accepted, ended or cancelled. */
+  boolean closeLooks;
+
+  /** A new machine is up after this time at least, and up to as much more. */
+  long bootMs = 3_000;
+
+  long bootSpreadMs = 4_000;
+
+  /** The newest report of each machine; kept of those that are gone, too. */
+  private final Map<String, byte[]> newestReports = new LinkedHashMap<>();
+
   /** The state service takes up to so much longer for each request. */
   long slowStoreMs;
 
@@ -229,6 +246,9 @@
       time.at(1, () -> once.accept(Web.Reply.NONE));
       return;
     }
+    if (path.equals("/hello")) {
+      newestReports.put(from, body);
+    }
     if (path.equals("/hello") && copies > 0 && random.nextDouble() < copies) {
       // A late copy: nobody waits for its answer.
       String anywhere = "n" + random.nextInt(size) + ":80";
@@ -242,6 +262,14 @@
     if (loseCommands && path.equals("/commands")) {
       return;
     }
+    if (lateCommands > 0 && path.equals("/commands") && random.nextDouble() < lateCommands) {
+      time.at(
+          2_000 + random.nextInt(14_000),
+          () -> deliver(from, address, method, path, body, r -> {}));
+      return;
+    }
+    boolean answerLost =
+        lostWriteAnswers > 0 && path.equals("/txn") && random.nextDouble() < lostWriteAnswers;
     if (lateWrites > 0 && path.equals("/txn") && random.nextDouble() < lateWrites) {
       time.at(
           2_000 + random.nextInt(10_000),
@@ -268,12 +296,29 @@
                 path,
                 body,
                 r -> {
-                  if (!cut.contains(to + ">" + from) && random.nextDouble() >= loss) {
+                  if (!cut.contains(to + ">" + from)
+                      && !answerLost
+                      && random.nextDouble() >= loss) {
                     time.at(1 + random.nextInt(10), () -> once.accept(r));
                   }
                 }));
   }
 
+  /** What the machines reported last, to be delivered later. */
+  Map<String, byte[]> reports() {
+    return new LinkedHashMap<>(newestReports);
+  }
+
+  /** Old reports reach every node; nobody waits for the answers. */
+  void deliverAgain(Map<String, byte[]> reports) {
+    reports.forEach(
+        (machine, report) -> {
+          for (int n = 0; n < size; n++) {
+            deliver(machine, "n" + n + ":80", "POST", "/hello", report, r -> {});
+          }
+        });
+  }
+
   private static String to(String address) {
     return address.substring(0, address.indexOf(':'));
   }
@@ -383,7 +428,7 @@
     StandInWorker w = new StandInWorker(this, name, zone, spot);
     machines.put(name, w);
     capacity--;
-    time.at(3_000 + random.nextInt(4_000), w::start);
+    time.at(bootMs + random.nextInt((int) bootSpreadMs), w::start);
     time.at(4_000, () -> listed.add(name));
     return name;
   }
@@ -606,17 +651,10 @@
       if (firstSentMs < 0) {
         firstSentMs = time.nowMs();
       }
-      ObjectNode j = StandInStore.JSON.createObjectNode();
-      j.put("uid", uid).put("fleet", "f" + tasks % 3).put("crew", team).put("shape", "batch");
-      j.put("urgency", tasks % 4 == 0 ? "urgent" : "standard").put("drops", tasks);
-      j.put("cores", cores).put("cards", 0.0).put("ram_gb", 1.0).put("load", "img");
-      j.put("pull_gb", 0.1).put("yard", zone).put("together", together).put("spread", spread);
-      j.put("standby", spot).put("haul_s", 6.0).put("waypoint_s", 0.0).put("stow_s", 0.0);
-      j.put("due_s", tasks % 2 == 0 ? 60.0 : null);
       ask(
           "POST",
           "/v1/jobs",
-          j.toString().getBytes(java.nio.charset.StandardCharsets.UTF_8),
+          submission(),
           5_000,
           r -> {
             if (r.status() == 201 || r.status() == 200) {
@@ -635,6 +673,46 @@
           });
     }
 
+    private byte[] submission() {
+      ObjectNode j = StandInStore.JSON.createObjectNode();
+      j.put("uid", uid).put("fleet", "f" + tasks % 3).put("crew", team).put("shape", "batch");
+      j.put("urgency", tasks % 4 == 0 ? "urgent" : "standard").put("drops", tasks);
+      j.put("cores", cores).put("cards", 0.0).put("ram_gb", 1.0).put("load", "img");
+      j.put("pull_gb", 0.1).put("yard", zone).put("together", together).put("spread", spread);
+      j.put("standby", spot).put("haul_s", 6.0).put("waypoint_s", 0.0).put("stow_s", 0.0);
+      j.put("due_s", tasks % 2 == 0 ? 60.0 : null);
+      return j.toString().getBytes(java.nio.charset.StandardCharsets.UTF_8);
+    }
+
+    /** Asks about the job at every node, and submits it again, within milliseconds. */
+    private void lookClosely() {
+      for (int n = 0; n < size; n++) {
+        int node = n;
+        time.at(1 + random.nextInt(20), () -> lookAt(node, "GET", "/v1/jobs/" + uid, null));
+        time.at(1 + random.nextInt(20), () -> lookAt(node, "POST", "/v1/jobs", submission()));
+      }
+    }
+
+    private void lookAt(int node, String method, String path, byte[] body) {
+      long sentMs = time.nowMs();
+      call(
+          "users",
+          "n" + node + ":80",
+          method,
+          path,
+          body,
+          2_000,
+          r -> {
+            if (r.status() == 200) {
+              hear(r, sentMs);
+            } else if (r.status() == 201) {
+              broken("forgotten: " + uid + " was accepted once more");
+            } else if (r.status() >= 400 && r.status() < 500 && r.status() != 429) {
+              broken("forgotten: " + uid + " got " + r.status() + " for " + method);
+            }
+          });
+    }
+
     void poll() {
       long sentMs = time.nowMs();
       ask(
@@ -698,7 +776,11 @@
           }
         }
       }
+      boolean news = !told.equals(status) && (told.isEmpty() || !status.equals("running"));
       told = status;
+      if (closeLooks && news) {
+        lookClosely();
+      }
     }
 
     private void ask(
