--- a/src/main/java/dev/windbend/daemon/Node.java
+++ b/src/main/java/dev/windbend/daemon/Node.java
@@ -53,8 +53,6 @@
   private static final long STALE_MS = 3_000;
 
   private final Settings settings;
-  private final Policy policy;
-  private final EventLoop loop;
   private final StoreClient store;
   private final CloudClient cloud;
   private final MachineTypeCatalog catalog;
@@ -75,8 +73,6 @@
 
   public Node(Settings settings, Policy policy, EventLoop loop, Web web) {
     this.settings = settings;
-    this.policy = policy;
-    this.loop = loop;
     Settings.Facts f = settings.facts();
     List<String> nodes = new ArrayList<>(List.of(settings.node()));
     List<String> addresses = new ArrayList<>();
@@ -328,7 +324,7 @@
       boolean named = spec.types() == null || spec.types().contains(type.name());
       boolean there =
           spec.zone() == null
-              || catalog.zones.find(spec.zone()) >= 0 && type.in(catalog.zones.find(spec.zone()));
+              || (catalog.zones.find(spec.zone()) >= 0 && type.in(catalog.zones.find(spec.zone())));
       if (named && there && type.fits(spec.cores(), spec.cards(), spec.ram())) {
         return new JobHandler.Verdict(null);
       }
--- a/src/main/java/dev/windbend/daemon/Operator.java
+++ b/src/main/java/dev/windbend/daemon/Operator.java
@@ -87,13 +87,12 @@
     if (text == null) {
       return or;
     }
-    switch (text.trim()) {
-      case "true":
-        return true;
-      case "false":
-        return false;
-      default:
-        throw new Settings.Invalid("[" + section + "] " + key + " must be true or false: " + text);
-    }
+    return switch (text.trim()) {
+      case "true" -> true;
+      case "false" -> false;
+      default ->
+          throw new Settings.Invalid(
+              "[" + section + "] " + key + " must be true or false: " + text);
+    };
   }
 }
--- a/src/main/java/dev/windbend/job/Job.java
+++ b/src/main/java/dev/windbend/job/Job.java
@@ -119,7 +119,7 @@
       for (int k = 0; k < record.count(run); k++) {
         int task = record.first(run) + k;
         Placement before = placed.get(task);
-        if (done.get(task) || before != null && before.attempt >= record.attempt()) {
+        if (done.get(task) || (before != null && before.attempt >= record.attempt())) {
           continue;
         }
         if (before != null) {
@@ -196,7 +196,7 @@
 
   /** Nothing of it is left to do or to prove gone. */
   public boolean over() {
-    return allDone() || cancelled && placed.isEmpty();
+    return allDone() || (cancelled && placed.isEmpty());
   }
 
   public boolean archived() {
@@ -259,7 +259,7 @@
 
   /** The record says that this task is done, so its exit need not be kept on the machine. */
   public boolean doneRecorded(int task) {
-    return archived || done.get(task) && !doneAt.containsKey(task);
+    return archived || (done.get(task) && !doneAt.containsKey(task));
   }
 
   /** The move to its final record. */
--- a/src/main/java/dev/windbend/job/Lookup.java
+++ b/src/main/java/dev/windbend/job/Lookup.java
@@ -110,8 +110,8 @@
           askSoon();
           for (Question q : batch) {
             if (outcome.done()
-                || outcome.kind() == Outcome.Kind.CONFLICT
-                    && !outcome.failed().contains(JobRecord.LIVE + q.uid)) {
+                || (outcome.kind() == Outcome.Kind.CONFLICT
+                    && !outcome.failed().contains(JobRecord.LIVE + q.uid))) {
               q.done.accept(new Found(true, q.copy, null));
             } else if (outcome.kind() == Outcome.Kind.CONFLICT) {
               read(q.uid, q.done);
--- a/src/main/java/dev/windbend/machine/Machine.java
+++ b/src/main/java/dev/windbend/machine/Machine.java
@@ -171,7 +171,7 @@
   }
 
   public boolean newer(long s, long t) {
-    return s > shift || s == shift && t > tally;
+    return s > shift || (s == shift && t > tally);
   }
 
   public boolean usable(long nowMs) {
--- a/src/main/java/dev/windbend/machine/MachineHealth.java
+++ b/src/main/java/dev/windbend/machine/MachineHealth.java
@@ -53,6 +53,8 @@
   }
 
   /**
+   * Looks at all machines once, and gives back or lends those that are to go.
+   *
    * @param sureSinceMs since when this owner has been able to hear and answer; the machines'
    *     silence counts from then
    */
@@ -85,7 +87,7 @@
         deaf.add(m);
       }
       boolean empty = m.draining && m.tasks.isEmpty();
-      if (m.recallMs >= 0 && now > m.recallMs + RECALL_SLACK_MS || empty && m.promisedTo < 0) {
+      if ((m.recallMs >= 0 && now > m.recallMs + RECALL_SLACK_MS) || (empty && m.promisedTo < 0)) {
         fleet.giveBack(m, "drained");
       } else if (empty && m.confirmed && m.recorded()) {
         promised.computeIfAbsent(m.promisedTo, k -> new ArrayList<>()).add(m);
--- a/src/main/java/dev/windbend/plan/Deadlines.java
+++ b/src/main/java/dev/windbend/plan/Deadlines.java
@@ -7,6 +7,8 @@
 public record Deadlines(double dueS, boolean hopeless) {
 
   /**
+   * The next limit that can still be met.
+   *
    * @param limitsS ascending, from submission
    */
   public static Deadlines next(double[] limitsS, double ageS, double estimateS) {
--- a/src/main/java/dev/windbend/plan/Planner.java
+++ b/src/main/java/dev/windbend/plan/Planner.java
@@ -260,7 +260,7 @@
   }
 
   private static long fetchMs(Work w, MachineReservations l) {
-    return l.room != null && l.room.images().contains(w.image()) || l.fetchGbPerS <= 0
+    return (l.room != null && l.room.images().contains(w.image())) || l.fetchGbPerS <= 0
         ? 0
         : (long) (1000 * w.imageGb() / l.fetchGbPerS);
   }
@@ -449,7 +449,7 @@
     looks++;
     long run = w.estimateMs() + fetchMs(w, l);
     long at = l.firstFit(run, w.size());
-    if (at <= byMs || orInTime && at < Long.MAX_VALUE && at + run <= w.dueMs()) {
+    if (at <= byMs || (orInTime && at < Long.MAX_VALUE && at + run <= w.dueMs())) {
       choices.add(new Choice(l, at, at, null));
     }
   }
@@ -489,7 +489,7 @@
       Offer b = best < 0 ? null : s.offers().get(best);
       if (b == null
           || o.pricePerH() < b.pricePerH()
-          || o.pricePerH() == b.pricePerH() && machinesIn[o.zone()] < machinesIn[b.zone()]) {
+          || (o.pricePerH() == b.pricePerH() && machinesIn[o.zone()] < machinesIn[b.zone()])) {
         best = i;
       }
     }
--- a/src/main/java/dev/windbend/shard/ShardOwner.java
+++ b/src/main/java/dev/windbend/shard/ShardOwner.java
@@ -366,7 +366,7 @@
   @Override
   public boolean cancelled(String uid) {
     Job job = board.find(uid);
-    return job != null && job.cancelled || cancellations.ahead(uid);
+    return (job != null && job.cancelled) || cancellations.ahead(uid);
   }
 
   @Override
--- a/src/main/java/dev/windbend/shard/SnapshotBuilder.java
+++ b/src/main/java/dev/windbend/shard/SnapshotBuilder.java
@@ -150,7 +150,7 @@
       free = free.minus(size);
       running.add(
           new Snapshot.Running(
-              expectedEnd(p, t, now), size, p.job.spec.urgency().ordinal(), lostMs(p, now)));
+              expectedEnd(p, t, now), size, p.job.spec.urgency().rank(), lostMs(p, now)));
     }
     boolean up = m.usable(now);
     long sinceS = (now - m.rentedMs) / 1000;
@@ -183,7 +183,7 @@
 
   /** What stopping it at once would lose; -1: it is being stopped, or its state is not known. */
   private static long lostMs(Placement p, long now) {
-    if (p.stopping() || p.inherited && !p.seen) {
+    if (p.stopping() || (p.inherited && !p.seen)) {
       return -1;
     }
     long ran = p.runningMs < 0 ? 0 : now - p.runningMs;
@@ -268,7 +268,7 @@
     Deadlines due = Deadlines.next(limits, age / 1000.0, estimateS);
     return new Snapshot.Work(
         j.team,
-        j.spec.urgency().ordinal(),
+        j.spec.urgency().rank(),
         size(j),
         types,
         j.spec.zone() == null ? -1 : catalog.zones.index(j.spec.zone()),
--- a/src/main/java/dev/windbend/store/StoreClient.java
+++ b/src/main/java/dev/windbend/store/StoreClient.java
@@ -300,7 +300,7 @@
 
   private long drainWrites() {
     while (true) {
-      boolean users = later.isEmpty() || usersTurn && !first.isEmpty();
+      boolean users = later.isEmpty() || (usersTurn && !first.isEmpty());
       long wait = sendOne(users ? first : later);
       if (wait > 0) {
         return wait;
--- a/src/main/java/dev/windbend/worker/ReportHandler.java
+++ b/src/main/java/dev/windbend/worker/ReportHandler.java
@@ -272,7 +272,7 @@
     List<Waiting> ready = new ArrayList<>();
     for (Waiting w : waiting.values()) {
       Machine m = w.machine();
-      boolean news = !w.idle() || startPending(m) || !hasRoom(m) && !writePending(m);
+      boolean news = !w.idle() || startPending(m) || (!hasRoom(m) && !writePending(m));
       if (news && !writePending(m)) {
         ready.add(w);
       }
--- a/src/main/java/dev/windbend/worker/TaskReconciler.java
+++ b/src/main/java/dev/windbend/worker/TaskReconciler.java
@@ -79,8 +79,8 @@
   private static boolean provedGone(Placement p, Report r) {
     return p.seen
         || p.inherited
-        || p.stopping()
-            && (p.sentShift < r.shift() || p.sentShift == r.shift() && p.sentTally < r.tally());
+        || (p.stopping()
+            && (p.sentShift < r.shift() || (p.sentShift == r.shift() && p.sentTally < r.tally())));
   }
 
   /** A start went out in the answer to an earlier report, and this one does not show it. */
--- a/src/test/java/dev/windbend/daemon/OverdueJobsTest.java
+++ b/src/test/java/dev/windbend/daemon/OverdueJobsTest.java
@@ -4,7 +4,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.function.Consumer;
-import java.util.function.ToLongFunction;
 import java.util.stream.Stream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -21,9 +20,9 @@
   private static final int FIRST_JOB = 0;
 
   /** Every fourth task of the first job is long, so that one is left on each machine. */
-  private static final ToLongFunction<String> ONE_LONG_TASK_A_MACHINE =
-      task ->
-          task.startsWith("wk-000000") && SimulatedCluster.task(task) % 4 == 0 ? 400_000 : 5_000;
+  private static long oneLongTaskOnEachMachine(String task) {
+    return task.startsWith("wk-000000") && SimulatedCluster.task(task) % 4 == 0 ? 400_000 : 5_000;
+  }
 
   private static Arguments waiting(String name, int machines, Consumer<SimulatedCluster> jobs) {
     return Arguments.of(name, machines, jobs);
@@ -92,7 +91,7 @@
       w.loss = 0;
       w.late = 0;
       w.calmFromMs = 0;
-      w.runs = ONE_LONG_TASK_A_MACHINE;
+      w.runs = OverdueJobsTest::oneLongTaskOnEachMachine;
       w.begin(0, 1);
       SimulatedCluster.User first = w.new User(FIRST_JOB, "red", 4 * machines, null, true, false);
       w.time.at(5_000, first::submit);
--- a/src/test/java/dev/windbend/daemon/SimulatedCluster.java
+++ b/src/test/java/dev/windbend/daemon/SimulatedCluster.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dev.windbend.daemon.io.Web;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -253,7 +254,7 @@
       // A late copy: nobody waits for its answer.
       String anywhere = "n" + random.nextInt(size) + ":80";
       time.at(
-          1_000 + random.nextInt((int) copyMs),
+          1_000L + random.nextInt((int) copyMs),
           () -> deliver(from, anywhere, method, path, body, r -> {}));
     }
     if (cut.contains(from + ">" + to) || mute.contains(from) || random.nextDouble() < loss) {
@@ -264,7 +265,7 @@
     }
     if (lateCommands > 0 && path.equals("/commands") && random.nextDouble() < lateCommands) {
       time.at(
-          2_000 + random.nextInt(14_000),
+          2_000L + random.nextInt(14_000),
           () -> deliver(from, address, method, path, body, r -> {}));
       return;
     }
@@ -272,11 +273,11 @@
         lostWriteAnswers > 0 && path.equals("/txn") && random.nextDouble() < lostWriteAnswers;
     if (lateWrites > 0 && path.equals("/txn") && random.nextDouble() < lateWrites) {
       time.at(
-          2_000 + random.nextInt(10_000),
+          2_000L + random.nextInt(10_000),
           () -> deliver(from, address, method, path, body, r -> {}));
       return;
     }
-    long wait = 1 + random.nextInt(10);
+    long wait = 1L + random.nextInt(10);
     if (slowStoreMs > 0 && to.equals("state")) {
       wait += random.nextInt((int) slowStoreMs);
     }
@@ -407,7 +408,8 @@
       if (!hires.containsKey(hire)) {
         int n = Math.min(capacity, r.get("how_many").asInt());
         if (n == 0) {
-          done.accept(new Web.Reply(503, "{\"error\":\"no capacity\"}".getBytes()));
+          done.accept(
+              new Web.Reply(503, "{\"error\":\"no capacity\"}".getBytes(StandardCharsets.UTF_8)));
           return;
         }
         List<String> names = new ArrayList<>();
@@ -473,7 +475,7 @@
         broken("ran_cancelled: " + drop);
       }
     }
-    if (u.zone != null && !u.zone.equals(w.zone) || w.spot && !u.spot) {
+    if ((u.zone != null && !u.zone.equals(w.zone)) || (w.spot && !u.spot)) {
       broken("wrong_place: " + drop + " on " + w.name);
     }
     Map<String, Integer> zones = zonesOf(u);
@@ -681,7 +683,7 @@
       j.put("pull_gb", 0.1).put("yard", zone).put("together", together).put("spread", spread);
       j.put("standby", spot).put("haul_s", 6.0).put("waypoint_s", 0.0).put("stow_s", 0.0);
       j.put("due_s", tasks % 2 == 0 ? 60.0 : null);
-      return j.toString().getBytes(java.nio.charset.StandardCharsets.UTF_8);
+      return j.toString().getBytes(StandardCharsets.UTF_8);
     }
 
     /** Asks about the job at every node, and submits it again, within milliseconds. */
@@ -874,7 +876,7 @@
     List<String> all = new ArrayList<>();
     for (User u : users.values()) {
       boolean over = u.told.equals("done") || u.told.equals("aborted");
-      if (!over || u.told.equals("aborted") && runs(u)) {
+      if (!over || (u.told.equals("aborted") && runs(u))) {
         all.add(u.uid + " " + u.told);
       }
     }
--- a/src/test/java/dev/windbend/daemon/StandInStore.java
+++ b/src/test/java/dev/windbend/daemon/StandInStore.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dev.windbend.daemon.io.Web;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -81,13 +82,13 @@
       return;
     }
     if (unserved(from)) {
-      done.accept(new Web.Reply(503, "{}".getBytes()));
+      done.accept(new Web.Reply(503, "{}".getBytes(StandardCharsets.UTF_8)));
       return;
     }
     try {
-      done.accept(answer(method, path, body));
+      done.accept(answer(path, body));
     } catch (java.io.IOException e) {
-      done.accept(new Web.Reply(400, "{}".getBytes()));
+      done.accept(new Web.Reply(400, "{}".getBytes(StandardCharsets.UTF_8)));
     }
   }
 
@@ -95,7 +96,7 @@
     return outage || deaf.contains(node);
   }
 
-  private Web.Reply answer(String method, String path, byte[] body) throws java.io.IOException {
+  private Web.Reply answer(String path, byte[] body) throws java.io.IOException {
     if (path.startsWith("/keys?")) {
       String prefix = query(path, "prefix");
       String after = query(path, "from");
@@ -133,14 +134,14 @@
       return reply(200, JSON.createObjectNode().put("permit", id));
     }
     if (path.endsWith("/renew")) {
-      long[] h = holds.get(Long.parseLong(path.split("/")[2]));
+      long[] h = holds.get(Long.parseLong(path.split("/", -1)[2]));
       if (h == null) {
-        return new Web.Reply(404, "{}".getBytes());
+        return new Web.Reply(404, "{}".getBytes(StandardCharsets.UTF_8));
       }
       h[1] = time.nowMs() + h[0];
-      return new Web.Reply(200, "{}".getBytes());
+      return new Web.Reply(200, "{}".getBytes(StandardCharsets.UTF_8));
     }
-    return new Web.Reply(400, "{}".getBytes());
+    return new Web.Reply(400, "{}".getBytes(StandardCharsets.UTF_8));
   }
 
   private Web.Reply txn(JsonNode t) {
@@ -158,12 +159,12 @@
     }
     for (JsonNode c : t.path("then")) {
       if (c.has("permit") && !holds.containsKey(c.get("permit").asLong())) {
-        return new Web.Reply(400, "{\"error\":\"no such lease\"}".getBytes());
+        return new Web.Reply(400, "{\"error\":\"no such lease\"}".getBytes(StandardCharsets.UTF_8));
       }
     }
     for (JsonNode c : t.path("then")) {
       if (!holdWrites.isEmpty() && c.path("set").asText().startsWith(holdWrites)) {
-        return new Web.Reply(429, "{}".getBytes());
+        return new Web.Reply(429, "{}".getBytes(StandardCharsets.UTF_8));
       }
     }
     ledger++;
@@ -217,7 +218,7 @@
           }
           if (from < forgotten) {
             answered[0] = true;
-            done.accept(new Web.Reply(410, "{}".getBytes()));
+            done.accept(new Web.Reply(410, "{}".getBytes(StandardCharsets.UTF_8)));
             return;
           }
           ArrayNode events = JSON.createArrayNode();
@@ -276,11 +277,11 @@
   }
 
   static Web.Reply reply(int status, JsonNode body) {
-    return new Web.Reply(status, body.toString().getBytes(java.nio.charset.StandardCharsets.UTF_8));
+    return new Web.Reply(status, body.toString().getBytes(StandardCharsets.UTF_8));
   }
 
   private static String query(String path, String name) {
-    for (String parameter : path.substring(path.indexOf('?') + 1).split("&")) {
+    for (String parameter : path.substring(path.indexOf('?') + 1).split("&", -1)) {
       if (parameter.startsWith(name + "=")) {
         return parameter.substring(name.length() + 1);
       }
