--- a/src/test/java/dev/windbend/daemon/MeetingsTest.java
+++ b/src/test/java/dev/windbend/daemon/MeetingsTest.java
@@ -118,13 +118,13 @@
       w.time.runUntil(MEET_MS);
       int lapsed = w.lapsed;
       troubles.accept(w, w.owner(0));
-      w.calmFromMs = MEET_MS + 2_000 + OUTAGE_MS;
-      w.time.runUntil(w.calmFromMs);
+      w.judge.calmFromMs = MEET_MS + 2_000 + OUTAGE_MS;
+      w.time.runUntil(w.judge.calmFromMs);
       if (keepsOthers) {
         assertThat(w.lapsed).as("leases, seed %d", seed).isEqualTo(lapsed);
       }
       w.time.runUntil(3 * DAY_MS);
-      assertThat(w.violations).as("rules, seed %d", seed).isEmpty();
+      assertThat(w.judge.violations).as("rules, seed %d", seed).isEmpty();
       assertThat(w.unfinished()).as("unfinished, seed %d", seed).isEmpty();
     }
   }
@@ -371,7 +371,7 @@
             w -> {
               w.capacity = 45;
               for (int n = 0; n < 480; n++) {
-                SimulatedCluster.User user = w.new User(1_000 + n, 1, null, true, n % 4 == 3);
+                SimulatedUser user = new SimulatedUser(w, 1_000 + n, 1, null, true, n % 4 == 3);
                 w.time.at(10_000 + 250L * n, user::submit);
               }
               each(w, 30_000, 30_000, 3, () -> crash(w, 3_000, w.random.nextInt(3)));
@@ -487,11 +487,11 @@
   void keepsTheRulesAndEndsAllWork(String name, Consumer<SimulatedCluster> troubles) {
     for (long seed = 1; seed <= 4; seed++) {
       SimulatedCluster w = new SimulatedCluster(seed * 104_729 + name.hashCode());
-      w.calmFromMs = 150_000;
+      w.judge.calmFromMs = 150_000;
       troubles.accept(w);
       w.begin(30, 90_000);
       w.time.runUntil(2 * DAY_MS);
-      assertThat(w.violations).as("rules, seed %d", seed).isEmpty();
+      assertThat(w.judge.violations).as("rules, seed %d", seed).isEmpty();
       assertThat(w.unfinished()).as("unfinished, seed %d", seed).isEmpty();
       assertThat(w.store.liveKeys("w/j/")).as("live jobs").isZero();
       assertThat(w.machines).as("machines").isEmpty();
--- a/src/test/java/dev/windbend/daemon/OverdueJobsTest.java
+++ b/src/test/java/dev/windbend/daemon/OverdueJobsTest.java
@@ -29,7 +29,7 @@
   }
 
   private static void submit(SimulatedCluster w, int number, String team, int tasks, String zone) {
-    SimulatedCluster.User user = w.new User(number, team, tasks, zone, true, false);
+    SimulatedUser user = new SimulatedUser(w, number, team, tasks, zone, true, false);
     w.time.at(WAITING_FROM_MS + 200L * (number % 50), user::submit);
   }
 
@@ -77,7 +77,7 @@
                 int node = n;
                 w.time.at(95_000 + 3_000 * n, () -> crash(w, 1_000, node));
               }
-              w.calmFromMs = 105_000;
+              w.judge.calmFromMs = 105_000;
             }));
   }
 
@@ -90,14 +90,14 @@
       w.capacity = machines;
       w.loss = 0;
       w.late = 0;
-      w.calmFromMs = 0;
+      w.judge.calmFromMs = 0;
       w.runs = OverdueJobsTest::oneLongTaskOnEachMachine;
       w.begin(0, 1);
-      SimulatedCluster.User first = w.new User(FIRST_JOB, "red", 4 * machines, null, true, false);
+      SimulatedUser first = new SimulatedUser(w, FIRST_JOB, "red", 4 * machines, null, true, false);
       w.time.at(5_000, first::submit);
       jobs.accept(w);
       w.time.runUntil(DAY_MS);
-      assertThat(w.violations).as("rules, seed %d", seed).isEmpty();
+      assertThat(w.judge.violations).as("rules, seed %d", seed).isEmpty();
       assertThat(w.unfinished()).as("unfinished, seed %d", seed).isEmpty();
     }
   }
--- a/src/test/java/dev/windbend/daemon/RulesTest.java
+++ b/src/test/java/dev/windbend/daemon/RulesTest.java
@@ -10,6 +10,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
@@ -212,6 +213,25 @@
               w.time.at(20_000, () -> w.slowMs[0] = 250);
               w.time.at(60_000, () -> w.slowMs[0] = 0);
             }),
+        day(
+            "all nodes are slow",
+            w -> {
+              w.time.at(20_000, () -> Arrays.fill(w.slowMs, 250));
+              w.time.at(80_000, () -> Arrays.fill(w.slowMs, 0));
+            }),
+        day(
+            "the nodes that take over are slow",
+            w ->
+                each(
+                    w,
+                    20_000,
+                    30_000,
+                    3,
+                    () -> {
+                      Arrays.fill(w.slowMs, 500);
+                      crash(w, 9_000, w.random.nextInt(3));
+                      w.time.at(20_000, () -> Arrays.fill(w.slowMs, 0));
+                    })),
         day(
             "nodes stand still for longer than a lease while their clocks run on",
             w -> {
@@ -249,10 +269,10 @@
     for (long seed = 1; seed <= 3; seed++) {
       SimulatedCluster w = new SimulatedCluster(seed * 7_919 + name.hashCode());
       w.begin(30, 90_000);
-      w.calmFromMs = 130_000;
+      w.judge.calmFromMs = 130_000;
       troubles.accept(w);
       w.time.runUntil(DAY_MS);
-      assertThat(w.violations).as("rules, seed %d", seed).isEmpty();
+      assertThat(w.judge.violations).as("rules, seed %d", seed).isEmpty();
       assertThat(w.unfinished()).as("unfinished, seed %d", seed).isEmpty();
       assertThat(w.store.largestValue).as("bytes of a value").isLessThan(4096);
       // Nothing is left behind: no live records of ended jobs, no machine nobody looks after.
@@ -306,9 +326,9 @@
             w.store.recover();
             w.cut.clear();
           });
-      w.calmFromMs = 24_000 + forMs;
+      w.judge.calmFromMs = 24_000 + forMs;
       w.time.runUntil(2 * DAY_MS);
-      assertThat(w.violations).as("rules, seed %d", seed).isEmpty();
+      assertThat(w.judge.violations).as("rules, seed %d", seed).isEmpty();
       assertThat(w.unfinished()).as("unfinished, seed %d", seed).isEmpty();
     }
   }
@@ -332,7 +352,7 @@
       assertThat(w.lapsed).as("leases, seed %d", seed).isEqualTo(lapsed);
       w.cut.clear();
       w.time.runUntil(DAY_MS);
-      assertThat(w.violations).as("rules, seed %d", seed).isEmpty();
+      assertThat(w.judge.violations).as("rules, seed %d", seed).isEmpty();
       assertThat(w.unfinished()).as("unfinished, seed %d", seed).isEmpty();
     }
   }
@@ -346,12 +366,12 @@
       w.runs = drop -> 200_000;
       w.begin(0, 1);
       for (int n = 0; n < 6; n++) {
-        SimulatedCluster.User u = w.new User(n, 4, null, false, false);
+        SimulatedUser u = new SimulatedUser(w, n, 4, null, false, false);
         w.time.at(3_000, u::submit);
       }
-      List<SimulatedCluster.User> mistaken = new ArrayList<>();
+      List<SimulatedUser> mistaken = new ArrayList<>();
       for (int n = 6; n < 18; n++) {
-        SimulatedCluster.User u = w.new User(n, 5, null, false, false);
+        SimulatedUser u = new SimulatedUser(w, n, 5, null, false, false);
         u.mistaken = true;
         mistaken.add(u);
         w.time.at(30_000 + 1_500 * n, u::submit);
@@ -362,9 +382,9 @@
       w.time.runUntil(150_000);
       assertThat(w.returned).as("given back, seed %d", seed).isEqualTo(before);
       mistaken.forEach(u -> u.cancels = true);
-      mistaken.forEach(SimulatedCluster.User::cancel);
+      mistaken.forEach(SimulatedUser::cancel);
       w.time.runUntil(DAY_MS);
-      assertThat(w.violations).as("rules, seed %d", seed).isEmpty();
+      assertThat(w.judge.violations).as("rules, seed %d", seed).isEmpty();
       assertThat(w.unfinished()).as("unfinished, seed %d", seed).isEmpty();
     }
   }
@@ -376,22 +396,22 @@
       SimulatedCluster w = new SimulatedCluster(seed);
       w.capacity = 12;
       w.begin(0, 1);
-      SimulatedCluster.User array = w.new User(1_000, "guests", 300, null, true, false);
+      SimulatedUser array = new SimulatedUser(w, 1_000, "guests", 300, null, true, false);
       w.time.at(3_000, array::submit);
       for (int n = 0; n < 60; n++) {
-        SimulatedCluster.User guest = w.new User(2_000 + n, "guests", 1, null, true, false);
+        SimulatedUser guest = new SimulatedUser(w, 2_000 + n, "guests", 1, null, true, false);
         w.time.at(5_000 + 200 * n, guest::submit);
       }
-      List<SimulatedCluster.User> others = new ArrayList<>();
+      List<SimulatedUser> others = new ArrayList<>();
       for (int n = 0; n < 30; n++) {
-        SimulatedCluster.User u = w.new User(n, 1 + n % 4, null, true, false);
+        SimulatedUser u = new SimulatedUser(w, n, 1 + n % 4, null, true, false);
         others.add(u);
         w.time.at(20_000 + 3_000 * n, u::submit);
       }
       w.time.runUntil(1_200_000);
-      assertThat(w.violations).as("rules, seed %d", seed).isEmpty();
+      assertThat(w.judge.violations).as("rules, seed %d", seed).isEmpty();
       assertThat(w.unfinished()).as("unfinished, seed %d", seed).isEmpty();
-      for (SimulatedCluster.User u : others) {
+      for (SimulatedUser u : others) {
         assertThat(u.begunMs - u.firstSentMs).as("%s of %s", u.uid, u.team).isLessThan(60_000);
       }
     }
@@ -405,13 +425,13 @@
       w.capacity = 4;
       w.begin(0, 1);
       for (int n = 0; n < 60; n++) {
-        SimulatedCluster.User u = w.new User(n, n % 10 == 0 ? 40 : 1 + n % 7, null, true, false);
+        SimulatedUser u = new SimulatedUser(w, n, n % 10 == 0 ? 40 : 1 + n % 7, null, true, false);
         w.time.at(3_000 + 2_500 * n, u::submit);
       }
       w.time.runUntil(1_200_000);
-      assertThat(w.violations).isEmpty();
+      assertThat(w.judge.violations).isEmpty();
       assertThat(w.unfinished()).isEmpty();
-      for (SimulatedCluster.User u : w.users.values()) {
+      for (SimulatedUser u : w.users.values()) {
         assertThat(u.begunMs - u.firstSentMs)
             .as("%s of %s with %d tasks, seed %d", u.uid, u.team, u.tasks, seed)
             .isLessThan(240_000);
@@ -432,15 +452,15 @@
     w.runs =
         drop ->
             drop.startsWith("wk-000000") && SimulatedCluster.task(drop) % 4 == 0 ? 300_000 : 5_000;
-    w.calmFromMs = 0;
+    w.judge.calmFromMs = 0;
     w.begin(0, 1);
-    SimulatedCluster.User first = w.new User(0, 16, null, true, false);
-    SimulatedCluster.User second = w.new User(1, 1, null, true, false);
+    SimulatedUser first = new SimulatedUser(w, 0, 16, null, true, false);
+    SimulatedUser second = new SimulatedUser(w, 1, 1, null, true, false);
     w.time.at(5_000, first::submit);
     w.time.at(60_000, second::submit);
     w.time.runUntil(DAY_MS);
     assertThat(w.unfinished()).isEmpty();
-    assertThat(w.violations).isEmpty();
+    assertThat(w.judge.violations).isEmpty();
   }
 
   @Test
--- a/src/test/java/dev/windbend/daemon/SimulatedCluster.java
+++ b/src/test/java/dev/windbend/daemon/SimulatedCluster.java
@@ -6,7 +6,6 @@
 import dev.windbend.daemon.io.Web;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -22,28 +21,21 @@
   static final long LEASE_MS = 14_000;
   static final long REPORT_MS = 1_500;
   static final long CANCEL_MS = 30_000;
-  static final long FORGOTTEN_MS = 75_000;
-  static final long WAITING_MS = 90_000;
 
-  /** A start in an answer that is under way can't be called back: that is 4 s, and the fetch. */
-  static final long UNDER_WAY_MS = 4_300;
-
-  private static final double TEAM_CORES = 40;
-  private static final double MACHINE_CORES = 4;
+  static final double TEAM_CORES = 40;
+  static final double MACHINE_CORES = 4;
 
   final VirtualTime time = new VirtualTime();
   final Random random;
   final StandInStore store = new StandInStore(time);
   final Map<String, StandInWorker> machines = new LinkedHashMap<>();
-  final List<String> violations = new ArrayList<>();
-  final Map<String, User> users = new LinkedHashMap<>();
+  final RuleJudge judge = new RuleJudge(this);
+  final Map<String, SimulatedUser> users = new LinkedHashMap<>();
   final int size;
   private final Node[] nodes;
   private final VirtualTime.ProcessLoop[] loops;
   private final Map<String, List<String>> hires = new HashMap<>();
   private final Set<String> listed = new HashSet<>();
-  private final Map<String, Set<StandInWorker>> on = new HashMap<>();
-  private final Set<String> finished = new HashSet<>();
   private int nextMachine;
   int capacity = 30;
 
@@ -124,9 +116,6 @@
   /** How much later each of a node's events happens. */
   final long[] slowMs;
 
-  /** From then on every question must be answered within 75 s. */
-  long calmFromMs = Long.MAX_VALUE;
-
   SimulatedCluster(long seed) {
     this(seed, 3);
   }
@@ -443,148 +432,10 @@
     }
   }
 
-  // ---- rules
-
-  void broken(String what) {
-    violations.add(time.nowMs() + " " + what);
-  }
-
-  private static String uid(String drop) {
-    return drop.substring(0, drop.indexOf('/'));
-  }
-
-  void started(String drop, StandInWorker w) {
-    User u = users.get(uid(drop));
-    Set<StandInWorker> places = on.computeIfAbsent(drop, k -> new HashSet<>());
-    if (!places.isEmpty()) {
-      broken("ran_twice: " + drop);
-    }
-    places.add(w);
-    if (u == null || u.firstSentMs < 0) {
-      broken("unknown task " + drop);
-      return;
-    }
-    if (u.begunMs < 0) {
-      u.begunMs = time.nowMs();
-    }
-    if (u.toldCancelledMs >= 0) {
-      if (time.nowMs() > u.toldCancelledMs + UNDER_WAY_MS) {
-        broken("started after its cancellation was confirmed: " + drop);
-      }
-      if (time.nowMs() > u.toldCancelledMs + CANCEL_MS) {
-        broken("ran_cancelled: " + drop);
-      }
-    }
-    if ((u.zone != null && !u.zone.equals(w.zone)) || (w.spot && !u.spot)) {
-      broken("wrong_place: " + drop + " on " + w.name);
-    }
-    Map<String, Integer> zones = zonesOf(u);
-    if (u.together && zones.size() > 1) {
-      broken("wrong_place: " + drop + " apart from the others of its job");
-    }
-    if (u.spread && zones.get(w.zone) > (u.tasks + 1) / 2) {
-      broken("wrong_place: " + drop + " makes too many in zone " + w.zone);
-    }
-    if (used(u.team) > limit(u.team) + 1e-6) {
-      broken("quota: " + u.team + " uses " + used(u.team));
-    }
-  }
-
-  /** How many tasks of a job are on machines of each zone. */
-  private Map<String, Integer> zonesOf(User u) {
-    Map<String, Integer> zones = new HashMap<>();
-    for (Map.Entry<String, Set<StandInWorker>> e : on.entrySet()) {
-      if (uid(e.getKey()).equals(u.uid)) {
-        e.getValue().forEach(w -> zones.merge(w.zone, 1, Integer::sum));
-      }
-    }
-    return zones;
-  }
-
-  private double cores(String drop) {
-    User u = users.get(uid(drop));
-    return u == null ? 0 : u.cores;
-  }
-
-  private static double limit(String team) {
-    return team.equals("guests") ? Double.POSITIVE_INFINITY : TEAM_CORES;
-  }
-
-  private double used(String team) {
-    double used = 0;
-    for (Map.Entry<String, Set<StandInWorker>> e : on.entrySet()) {
-      User o = users.get(uid(e.getKey()));
-      if (!e.getValue().isEmpty() && o != null && o.team.equals(team)) {
-        used += o.cores;
-      }
-    }
-    return used;
-  }
-
-  /**
-   * Once all troubles are over, no job is left waiting for 90 s while a machine that fits has room
-   * and its team is under its limit.
-   */
-  private void judgeWaiting() {
-    Map<String, Double> free = new HashMap<>();
-    for (StandInWorker m : machines.values()) {
-      free.put(m.name, m.up && !m.hung && m.recallS == null ? MACHINE_CORES : 0);
-    }
-    for (Map.Entry<String, Set<StandInWorker>> e : on.entrySet()) {
-      e.getValue().forEach(m -> free.merge(m.name, -cores(e.getKey()), Double::sum));
-    }
-    for (User u : users.values()) {
-      boolean accepted = !u.told.isEmpty() && !u.cancels && !u.told.equals("done");
-      Map<String, Integer> zones = accepted ? zonesOf(u) : Map.of();
-      boolean left = false;
-      for (int i = 0; accepted && i < u.tasks; i++) {
-        String drop = u.uid + "/" + i;
-        left |= !finished.contains(drop) && on.getOrDefault(drop, Set.of()).isEmpty();
-      }
-      StandInWorker room =
-          left && used(u.team) + u.cores <= limit(u.team)
-              ? machines.values().stream()
-                  .filter(m -> free.get(m.name) >= u.cores && mayRunOn(u, m, zones))
-                  .findFirst()
-                  .orElse(null)
-              : null;
-      if (room == null || time.nowMs() < calmFromMs) {
-        u.couldStartMs = time.nowMs();
-      } else if (time.nowMs() - u.couldStartMs > WAITING_MS) {
-        broken("waits: " + u.uid + " while " + room.name + " has room");
-        u.couldStartMs = time.nowMs();
-      }
-    }
-    time.at(1_000, this::judgeWaiting);
-  }
-
-  void left(String drop, StandInWorker w) {
-    on.get(drop).remove(w);
-    User u = users.get(uid(drop));
-    if (u != null && u.toldCancelledMs >= 0 && time.nowMs() > u.toldCancelledMs + CANCEL_MS) {
-      broken("ran_cancelled: " + drop + " left late");
-    }
-  }
-
-  private static boolean mayRunOn(User u, StandInWorker m, Map<String, Integer> zones) {
-    return (u.zone == null || u.zone.equals(m.zone))
-        && (u.spot || !m.spot)
-        && (!u.together || zones.isEmpty() || zones.containsKey(m.zone))
-        && (!u.spread || zones.getOrDefault(m.zone, 0) < (u.tasks + 1) / 2);
-  }
-
+  /** A task has completed; the end of a job may be met by its user. */
   void completed(String drop) {
-    finished.add(drop);
-    User u = users.get(uid(drop));
-    if (u == null) {
-      return;
-    }
-    u.couldStartMs = time.nowMs();
-    boolean last = true;
-    for (int i = 0; i < u.tasks; i++) {
-      last &= finished.contains(uid(drop) + "/" + i);
-    }
-    if (last && meetEnds) {
+    if (judge.completed(drop) && meetEnds) {
+      SimulatedUser u = users.get(RuleJudge.uid(drop));
       u.cancels |= random.nextInt(3) == 0;
       for (int i = 0; i < 6; i++) {
         Runnable what = i % 3 == 0 ? u::submit : i % 3 == 1 || !u.cancels ? u::poll : u::cancel;
@@ -605,202 +456,12 @@
     return leastRunMs + task(drop) * farApartMs + 2_000 + Math.floorMod(drop.hashCode(), 9_000);
   }
 
-  // ---- users
-
-  final class User {
-    final String uid;
-    final String team;
-    final int tasks;
-    final double cores;
-    final String zone;
-    final boolean spot;
-    boolean together;
-    boolean spread;
-
-    /** Submitted with a mistake: its tasks fail on every machine. */
-    boolean mistaken;
-
-    long couldStartMs;
-    boolean cancels;
-    long firstSentMs = -1;
-    long toldCancelledMs = -1;
-    long answeredMs;
-    long overSinceMs;
-    long begunMs = -1;
-    String told = "";
-
-    /** Its requests do not go to this node; null: to any. */
-    String notThrough;
-
-    User(int n, int tasks, String zone, boolean spot, boolean cancels) {
-      this(n, List.of("red", "blue", "green").get(n % 3), tasks, zone, spot, cancels);
-    }
-
-    /** Also of the guests, a team with neither a guarantee nor a limit. */
-    User(int n, String team, int tasks, String zone, boolean spot, boolean cancels) {
-      this.uid = "wk-%06d".formatted(n);
-      this.team = team;
-      this.tasks = tasks;
-      this.cores = 1 + n % 2;
-      this.zone = zone;
-      this.spot = spot;
-      this.cancels = cancels;
-      users.put(uid, this);
-    }
-
-    void submit() {
-      long sentMs = time.nowMs();
-      if (firstSentMs < 0) {
-        firstSentMs = time.nowMs();
-      }
-      ask(
-          "POST",
-          "/v1/jobs",
-          submission(),
-          5_000,
-          r -> {
-            if (r.status() == 201 || r.status() == 200) {
-              hear(r, sentMs);
-              time.at(5_000, this::poll);
-              if (cancels) {
-                time.at(
-                    Math.max(0, cancelsFromMs - time.nowMs()) + random.nextInt(20_000),
-                    this::cancel);
-              }
-            } else if (r.status() == 400 || r.status() == 422) {
-              broken("forgotten: " + uid + " was refused with " + r.status());
-            } else {
-              time.at(1_000, this::submit);
-            }
-          });
-    }
-
-    private byte[] submission() {
-      ObjectNode j = StandInStore.JSON.createObjectNode();
-      j.put("uid", uid).put("fleet", "f" + tasks % 3).put("crew", team).put("shape", "batch");
-      j.put("urgency", tasks % 4 == 0 ? "urgent" : "standard").put("drops", tasks);
-      j.put("cores", cores).put("cards", 0.0).put("ram_gb", 1.0).put("load", "img");
-      j.put("pull_gb", 0.1).put("yard", zone).put("together", together).put("spread", spread);
-      j.put("standby", spot).put("haul_s", 6.0).put("waypoint_s", 0.0).put("stow_s", 0.0);
-      j.put("due_s", tasks % 2 == 0 ? 60.0 : null);
-      return j.toString().getBytes(StandardCharsets.UTF_8);
-    }
-
-    /** Asks about the job at every node, and submits it again, within milliseconds. */
-    private void lookClosely() {
-      for (int n = 0; n < size; n++) {
-        int node = n;
-        time.at(1 + random.nextInt(20), () -> lookAt(node, "GET", "/v1/jobs/" + uid, null));
-        time.at(1 + random.nextInt(20), () -> lookAt(node, "POST", "/v1/jobs", submission()));
-      }
-    }
-
-    private void lookAt(int node, String method, String path, byte[] body) {
-      long sentMs = time.nowMs();
-      call(
-          "users",
-          "n" + node + ":80",
-          method,
-          path,
-          body,
-          2_000,
-          r -> {
-            if (r.status() == 200) {
-              hear(r, sentMs);
-            } else if (r.status() == 201) {
-              broken("forgotten: " + uid + " was accepted once more");
-            } else if (r.status() >= 400 && r.status() < 500 && r.status() != 429) {
-              broken("forgotten: " + uid + " got " + r.status() + " for " + method);
-            }
-          });
-    }
-
-    void poll() {
-      long sentMs = time.nowMs();
-      ask(
-          "GET",
-          "/v1/jobs/" + uid,
-          null,
-          2_000,
-          r -> {
-            if (r.status() == 404) {
-              broken("forgotten: " + uid + " got 404");
-            } else if (r.status() == 200) {
-              hear(r, sentMs);
-            } else if (time.nowMs() - Math.max(answeredMs, calmFromMs) > FORGOTTEN_MS) {
-              broken("forgotten: no question about " + uid + " is answered");
-            }
-            time.at(5_000, this::poll);
-          });
-    }
-
-    void cancel() {
-      long sentMs = time.nowMs();
-      ask(
-          "POST",
-          "/v1/jobs/" + uid + "/cancel",
-          new byte[0],
-          5_000,
-          r -> {
-            if (r.status() == 200) {
-              hear(r, sentMs);
-            } else {
-              time.at(1_000, this::cancel);
-            }
-          });
-    }
-
-    private void hear(Web.Reply r, long sentMs) {
-      answeredMs = time.nowMs();
-      String status = json(r.body()).path("status").asText();
-      boolean over = told.equals("done") || told.equals("aborted");
-      if (over && !status.equals(told)) {
-        if (sentMs > overSinceMs) {
-          broken("went_back: " + uid + " from " + told + " to " + status);
-        }
-        return; // asked before it was over, and overtaken by the answer that said so
-      }
-      if (!over) {
-        overSinceMs = time.nowMs();
-      }
-      if (status.equals("aborted")) {
-        if (!cancels) {
-          broken("went_back: " + uid + " was not cancelled by its user");
-        }
-        if (toldCancelledMs < 0) {
-          toldCancelledMs = time.nowMs();
-        }
-      }
-      if (status.equals("done")) {
-        for (int i = 0; i < tasks; i++) {
-          if (!finished.contains(uid + "/" + i)) {
-            broken("not_done: " + uid + "/" + i);
-          }
-        }
-      }
-      boolean news = !told.equals(status) && (told.isEmpty() || !status.equals("running"));
-      told = status;
-      if (closeLooks && news) {
-        lookClosely();
-      }
-    }
-
-    private void ask(
-        String method, String path, byte[] body, long limitMs, Consumer<Web.Reply> done) {
-      int n = random.nextInt(size);
-      if (("n" + n).equals(notThrough)) {
-        n = (n + 1) % size;
-      }
-      call("users", "n" + n + ":80", method, path, body, limitMs, done);
-    }
-  }
-
   /** Users call off so many jobs that run, through any node but one; their tasks' machines. */
   List<StandInWorker> cancelNow(int count, String notThrough) {
     List<StandInWorker> all = new ArrayList<>();
     int left = count;
-    for (User u : users.values()) {
-      List<StandInWorker> on = machinesOf(u);
+    for (SimulatedUser u : users.values()) {
+      List<StandInWorker> on = judge.machinesOf(u);
       if (left > 0 && !on.isEmpty() && !u.cancels && !u.told.equals("done")) {
         left--;
         u.cancels = true;
@@ -821,19 +482,10 @@
   }
 
   boolean mistaken(String drop) {
-    User u = users.get(uid(drop));
+    SimulatedUser u = users.get(RuleJudge.uid(drop));
     return u != null && u.mistaken;
   }
 
-  private List<StandInWorker> machinesOf(User u) {
-    return on.entrySet().stream()
-        .filter(e -> uid(e.getKey()).equals(u.uid))
-        .flatMap(e -> e.getValue().stream())
-        .distinct()
-        .sorted(Comparator.comparing(m -> m.name))
-        .toList();
-  }
-
   /** The node that holds a shard's claim; null: none does. */
   String owner(int shard) {
     JsonNode claim = store.value("w/c/" + shard);
@@ -851,7 +503,7 @@
         2_000,
         r -> {
           if (r.status() == 200) {
-            broken("invented");
+            judge.broken("invented");
           }
           time.at(7_000, this::askForNothing);
         });
@@ -863,18 +515,19 @@
     }
     for (int n = 0; n < jobs; n++) {
       String zone = n % 5 == 0 ? "b" : null;
-      User u = new User(n, 1 + random.nextInt(tasksMost), zone, n % 7 != 0, n % 6 == 5);
+      SimulatedUser u =
+          new SimulatedUser(this, n, 1 + random.nextInt(tasksMost), zone, n % 7 != 0, n % 6 == 5);
       u.together = n % 8 == 3;
       u.spread = n % 8 == 6 && zone == null;
       time.at(3_000 + random.nextInt((int) spanMs), u::submit);
     }
     time.at(5_000, this::askForNothing);
-    time.at(5_000, this::judgeWaiting);
+    time.at(5_000, judge::judgeWaiting);
   }
 
   List<String> unfinished() {
     List<String> all = new ArrayList<>();
-    for (User u : users.values()) {
+    for (SimulatedUser u : users.values()) {
       boolean over = u.told.equals("done") || u.told.equals("aborted");
       if (!over || (u.told.equals("aborted") && runs(u))) {
         all.add(u.uid + " " + u.told);
@@ -883,7 +536,7 @@
     return all;
   }
 
-  private boolean runs(User u) {
-    return !machinesOf(u).isEmpty();
+  private boolean runs(SimulatedUser u) {
+    return !judge.machinesOf(u).isEmpty();
   }
 }
--- a/src/test/java/dev/windbend/daemon/StandInWorker.java
+++ b/src/test/java/dev/windbend/daemon/StandInWorker.java
@@ -242,7 +242,7 @@
       return false;
     }
     if (before != null && !before.status.equals("exited")) {
-      world.broken("in_use: " + drop + " is on " + name + " with another attempt");
+      world.judge.broken("in_use: " + drop + " is on " + name + " with another attempt");
       return false;
     }
     Task t = new Task();
@@ -264,7 +264,7 @@
     }
     t.status = "running";
     t.counted = true;
-    world.started(t.drop, this);
+    world.judge.started(t.drop, this);
     changed();
     boolean fails = sick || world.mistaken(t.drop);
     world.time.at(fails ? 200 : world.runMs(t.drop), () -> end(t));
@@ -295,7 +295,7 @@
   private void leave(Task t) {
     if (t.counted) {
       t.counted = false;
-      world.left(t.drop, this);
+      world.judge.left(t.drop, this);
     }
   }
 
