--- a/src/test/java/dev/windbend/machine/FleetTest.java
+++ b/src/test/java/dev/windbend/machine/FleetTest.java
@@ -2,8 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import dev.windbend.daemon.io.EventLoop;
 import dev.windbend.daemon.io.Json;
+import dev.windbend.daemon.io.ManualLoop;
 import dev.windbend.daemon.io.Web;
 import dev.windbend.store.PendingWrite;
 import dev.windbend.store.TransactionBuilder;
@@ -20,32 +20,13 @@
       "{\"rigs\":[{\"label\":\"t\",\"cores\":8,\"cards\":0,\"ram_gb\":8,\"cache_gb\":9,"
           + "\"pull_gb_per_s\":1,\"rate\":1,\"low_price\":0.5,\"ready_s\":5,\"yards\":[\"a\"]}]}";
 
-  private long nowMs = 1_000;
   private int stock;
   private int named;
   private int changes;
   private final List<String> returned = new ArrayList<>();
-  private final List<Runnable> waiting = new ArrayList<>();
   private boolean mayAct = true;
 
-  private final EventLoop loop =
-      new EventLoop() {
-        @Override
-        public long nowMs() {
-          return nowMs;
-        }
-
-        @Override
-        public long wallMs() {
-          return nowMs;
-        }
-
-        @Override
-        public Timer after(long delayMs, Runnable task) {
-          waiting.add(task);
-          return () -> waiting.remove(task);
-        }
-      };
+  private final ManualLoop loop = new ManualLoop(1_000);
 
   /** Every record is stored at once. */
   private final Fleet.Host host =
@@ -76,7 +57,7 @@
 
   FleetTest() {
     catalog.start();
-    waiting.clear();
+    loop.waiting.clear();
   }
 
   private void answer(
@@ -106,10 +87,8 @@
   }
 
   private void pass(long ms) {
-    nowMs += ms;
-    List<Runnable> due = List.copyOf(waiting);
-    waiting.clear();
-    due.forEach(Runnable::run);
+    loop.nowMs += ms;
+    loop.fire();
     fleet.pursue();
   }
 
--- a/src/test/java/dev/windbend/overload/ConcurrencyLimiterTest.java
+++ b/src/test/java/dev/windbend/overload/ConcurrencyLimiterTest.java
@@ -2,39 +2,27 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import dev.windbend.daemon.io.EventLoop;
+import dev.windbend.daemon.io.ManualLoop;
 import dev.windbend.daemon.io.Web;
 import java.util.ArrayDeque;
 import java.util.Map;
 import java.util.function.Consumer;
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
 class ConcurrencyLimiterTest {
-  private long now;
-
-  private final EventLoop loop =
-      new EventLoop() {
-        @Override
-        public long nowMs() {
-          return now;
-        }
-
-        @Override
-        public long wallMs() {
-          return now;
-        }
-
-        @Override
-        public Timer after(long delayMs, Runnable task) {
-          throw new UnsupportedOperationException();
-        }
-      };
+  private final ManualLoop loop = new ManualLoop(0);
   private final ArrayDeque<Consumer<Web.Answer>> open = new ArrayDeque<>();
   private final ConcurrencyLimiter gate =
       new ConcurrencyLimiter(
           loop, r -> r.method().equals("POST"), (request, done) -> open.add(done));
   private final Web.Request request = new Web.Request("GET", "/", Map.of(), new byte[0]);
 
+  @AfterEach
+  void setsNoTimers() {
+    assertThat(loop.waiting).isEmpty();
+  }
+
   @Test
   void answersAtOnceWhatIsOverTheLimitAndSaysWhenToComeBack() {
     int limit = gate.limit();
@@ -82,7 +70,7 @@
     for (int i = 0; i < n; i++) {
       gate.handle(request, a -> {});
     }
-    now += ms;
+    loop.nowMs += ms;
     while (!open.isEmpty()) {
       open.poll().accept(Web.Answer.bare(200));
     }
--- a/src/test/java/dev/windbend/shard/MachineTransfersTest.java
+++ b/src/test/java/dev/windbend/shard/MachineTransfersTest.java
@@ -2,8 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import dev.windbend.daemon.io.EventLoop;
 import dev.windbend.daemon.io.Json;
+import dev.windbend.daemon.io.ManualLoop;
 import dev.windbend.daemon.io.Web;
 import dev.windbend.machine.CloudClient;
 import dev.windbend.machine.Fleet;
@@ -28,23 +28,7 @@
       "{\"rigs\":[{\"label\":\"t\",\"cores\":8,\"cards\":0,\"ram_gb\":8,\"cache_gb\":9,"
           + "\"pull_gb_per_s\":1,\"rate\":1,\"low_price\":0.5,\"ready_s\":5,\"yards\":[\"a\"]}]}";
 
-  private final EventLoop loop =
-      new EventLoop() {
-        @Override
-        public long nowMs() {
-          return 1_000;
-        }
-
-        @Override
-        public long wallMs() {
-          return 1_000;
-        }
-
-        @Override
-        public Timer after(long delayMs, Runnable task) {
-          return () -> {};
-        }
-      };
+  private final ManualLoop loop = new ManualLoop(1_000);
 
   private final Fleet.Host host =
       new Fleet.Host() {
