--- a/src/test/java/dev/windbend/daemon/MeetingsTest.java
+++ b/src/test/java/dev/windbend/daemon/MeetingsTest.java
@@ -168,6 +168,12 @@
                 .isEmpty());
   }
 
+  /** Again and again the first shard's owner of that moment ends, and is back after a while. */
+  private static void leadersEnd(
+      SimulatedCluster w, long fromMs, long everyMs, int times, long backMs) {
+    each(w, fromMs, everyMs, times, () -> crash(w, backMs, number(w.owner(0))));
+  }
+
   private static int number(String node) {
     return node == null ? 0 : node.charAt(1) - '0';
   }
@@ -194,7 +200,7 @@
             w -> {
               w.copies = 0.5;
               w.copyMs = 12_000;
-              each(w, 20_000, 12_000, 8, () -> crash(w, 9_000, number(w.owner(0))));
+              leadersEnd(w, 20_000, 12_000, 8, 9_000);
             }),
         meeting(
             "a team at its limit, the leader changes, machines can't be asked, jobs are cancelled",
@@ -259,7 +265,7 @@
         meeting(
             "controllers hand over and back, all end, and one returns, also within a second",
             w -> {
-              each(w, 20_000, 8_000, 4, () -> crash(w, 5_000, number(w.owner(0))));
+              leadersEnd(w, 20_000, 8_000, 4, 5_000);
               w.time.at(
                   60_000,
                   () -> {
@@ -273,7 +279,7 @@
             "leaders change ten times in two minutes, also inside an outage",
             w -> {
               w.leastRunMs = 10_000;
-              each(w, 15_000, 11_500, 10, () -> crash(w, 6_000, number(w.owner(0))));
+              leadersEnd(w, 15_000, 11_500, 10, 6_000);
               w.time.at(50_000, () -> outage(w, 30_000));
               each(w, 40_000, 9_000, 5, () -> w.cancelNow(1, null));
             }),
@@ -349,7 +355,7 @@
             w -> {
               w.tasksMost = 3;
               w.farApartMs = 40_000;
-              each(w, 25_000, 20_000, 5, () -> crash(w, 8_000, number(w.owner(0))));
+              leadersEnd(w, 25_000, 20_000, 5, 8_000);
             }),
         meeting(
             "all controllers are away for longer than a lease",
