Leases are renewed at a steady rate, rounds after a takeover wait for reports

A renewal also waited for the answer to the one before. Now renewals go out at a steady rate (NodeLease, parted from ShardOwnership), the first round waits until the machines were heard or 1.5 report intervals, and rounds begin with eight jobs and double.

Ruled out, measured on loopback: other compile thresholds of the JVM (0.3, 3, 4, 10 times) and native reflection gave no gain in processor time.

--- a/src/main/java/dev/windbend/machine/Machine.java
+++ b/src/main/java/dev/windbend/machine/Machine.java
@@ -105,6 +105,11 @@
     this.leastFreeCoresBefore = type.cores();
   }
 
+  /** Whether it was taken over from a former owner of the shard. */
+  public boolean inherited() {
+    return inherited;
+  }
+
   public String zoneName() {
     return hire.asked.zone();
   }
--- a/src/main/java/dev/windbend/shard/SchedulingLoop.java
+++ b/src/main/java/dev/windbend/shard/SchedulingLoop.java
@@ -45,6 +45,7 @@
   private final MachineTransfers loans;
   private final long token;
   private final BooleanSupplier mayAct;
+  private final GradualStart start;
   private long lastMs;
   private long costMs;
   private long lastRentMs = Long.MIN_VALUE / 2;
@@ -61,8 +62,10 @@
       Fleet fleet,
       MachineTransfers loans,
       long token,
+      GradualStart start,
       BooleanSupplier mayAct) {
     this.token = token;
+    this.start = start;
     this.loop = loop;
     this.catalog = catalog;
     this.policy = policy;
@@ -123,18 +126,20 @@
 
   private void round() {
     due = false;
-    if (!mayAct.getAsBoolean()) {
+    if (!mayAct.getAsBoolean() || !start.mayPlan(this::allHeard)) {
       return;
     }
     long now = loop.nowMs();
     lastMs = now;
     count++;
-    List<Job> works = new ArrayList<>();
+    List<Job> waiting = new ArrayList<>();
     for (Job j : board.all()) {
       if (j.waitingCount() > 0) {
-        works.add(j);
+        waiting.add(j);
       }
     }
+    List<Job> works = start.next(waiting);
+    boolean all = works.size() == waiting.size();
     List<Machine> rooms = new ArrayList<>();
     for (Machine m : fleet.machines()) {
       if (!m.returning && !m.draining && m.unheard == 0 && now >= m.fullUntilMs) {
@@ -147,6 +152,8 @@
         Planner.plan(
             snapshots.build(now, count % OLDEST_FIRST == 0, works, rooms, offers, running));
     carryOut(wanted, now, works, rooms, running);
+    // Machines that look idle may be needed by jobs that this round left out.
+    spare(all ? wanted.spare() : List.of(), rooms);
     MachineRequest.Overdue overdue =
         loans.mayAskForOverdue() ? overdueJobs.tasksWithoutRoom(now) : null;
     if ((wanted.shortCores() > 0 || overdue != null) && loans.mayAsk()) {
@@ -163,10 +170,24 @@
     } else if (!loans.asking()) {
       rent(wanted.rentals(), offers, 0);
     }
-    for (int i : wanted.giveBack()) {
-      fleet.giveBack(rooms.get(i), "idle at the end of its block");
+    if (all) {
+      for (int i : wanted.giveBack()) {
+        fleet.giveBack(rooms.get(i), "idle at the end of its block");
+      }
     }
     costMs = loop.nowMs() - now;
+    if (!all) {
+      want();
+    }
+  }
+
+  private boolean allHeard() {
+    for (Machine m : fleet.machines()) {
+      if (m.inherited() && !m.confirmed) {
+        return false;
+      }
+    }
+    return true;
   }
 
   private void carryOut(
@@ -188,8 +209,11 @@
       changed.add(job);
     }
     changed.forEach(board::touched);
+  }
+
+  private void spare(List<Integer> indices, List<Machine> rooms) {
     List<Machine> spare = new ArrayList<>();
-    for (int i : wanted.spare()) {
+    for (int i : indices) {
       spare.add(rooms.get(i));
     }
     loans.spare(spare);
--- a/src/main/java/dev/windbend/shard/ShardOwner.java
+++ b/src/main/java/dev/windbend/shard/ShardOwner.java
@@ -72,6 +72,7 @@
   private final UnknownMachines strays;
   private final MachineHealth watch;
   private final MachineTransfers loans;
+  private final GradualStart gradualStart;
   private final SchedulingLoop rounds;
   private final ReportHandler reports;
   private final ShardLog log;
@@ -141,6 +142,7 @@
     SnapshotBuilder snapshots =
         new SnapshotBuilder(
             loop, catalog, facts, policy, estimates, images, board, fleet, overdueJobs);
+    this.gradualStart = new GradualStart(loop, facts.reportS());
     this.rounds =
         new SchedulingLoop(
             loop,
@@ -152,6 +154,7 @@
             fleet,
             loans,
             token,
+            gradualStart,
             this::mayAct);
     this.reports =
         new ReportHandler(
@@ -210,6 +213,7 @@
         fleet.machines().size());
     startedMs = now;
     lastCheckMs = now;
+    gradualStart.takenOver();
     tick();
   }
 
--- a/src/main/java/dev/windbend/shard/ShardOwnership.java
+++ b/src/main/java/dev/windbend/shard/ShardOwnership.java
@@ -12,14 +12,13 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Who owns which shard. A claim is a key under the node's hold; its version is the token that
+ * Who owns which shard. A claim is a key under the node's lease; its version is the token that
  * fences every owner's orders and writes.
  */
 public final class ShardOwnership {
   private static final Logger LOG = LoggerFactory.getLogger(ShardOwnership.class);
   public static final String KEYS = "w/c/";
 
-  private static final long MARGIN_MS = 150;
   private static final long STEP_MS = 250;
   private static final long RANK_PAUSE_MS = 600;
   private static final long LOAD_PAUSE_MS = 900;
@@ -29,15 +28,12 @@
   private final Replica replica;
   private final ShardLayout layout;
   private final String me;
-  private final long lifeMs;
+  private final NodeLease lease;
   private final long leaseMs;
   private final Listener listener;
   private final long[] tokens;
   private final long[] freeSince;
   private final boolean[] claiming;
-  private long hold = -1;
-  private boolean holding;
-  private long validUntilMs;
   private long heardMs = Long.MIN_VALUE / 2;
   private long leftMs = Long.MIN_VALUE / 2;
 
@@ -56,7 +52,7 @@
       Replica replica,
       ShardLayout layout,
       String me,
-      long lifeMs,
+      long termMs,
       long leaseMs,
       Listener listener) {
     this.loop = loop;
@@ -64,7 +60,7 @@
     this.replica = replica;
     this.layout = layout;
     this.me = me;
-    this.lifeMs = lifeMs;
+    this.lease = new NodeLease(loop, store, termMs, this::loseAll);
     this.leaseMs = leaseMs;
     this.listener = listener;
     this.tokens = new long[layout.shards()];
@@ -74,7 +70,7 @@
   }
 
   public void start() {
-    newHold();
+    lease.acquire();
     step();
   }
 
@@ -82,9 +78,9 @@
     return KEYS + shard;
   }
 
-  /** Our hold can't have ended, whatever the clocks do. */
+  /** Our lease can't have ended, whatever the clocks do. */
   public boolean surelyHeld() {
-    return loop.nowMs() < validUntilMs;
+    return lease.surelyHeld();
   }
 
   public boolean owns(int shard) {
@@ -106,55 +102,10 @@
     return n;
   }
 
-  private void newHold() {
-    if (holding) {
-      return;
+  private void loseAll() {
+    for (int shard = 0; shard < tokens.length; shard++) {
+      lose(shard);
     }
-    holding = true;
-    long sent = loop.nowMs();
-    store.hold(
-        lifeMs,
-        id -> {
-          holding = false;
-          if (id < 0) {
-            loop.after(500, this::newHold);
-            return;
-          }
-          hold = id;
-          valid(sent);
-          renewLater(lifeMs / 4);
-        });
-  }
-
-  private void valid(long sentMs) {
-    validUntilMs = sentMs + (long) (lifeMs * (1 - EventLoop.CLOCK_DRIFT)) - MARGIN_MS;
-  }
-
-  private void renewLater(long ms) {
-    loop.after(ms, this::renew);
-  }
-
-  private void renew() {
-    long sent = loop.nowMs();
-    long id = hold;
-    store.renew(
-        id,
-        status -> {
-          if (status == 200) {
-            valid(sent);
-            renewLater(lifeMs / 4);
-          } else if (status == 404) {
-            LOG.warn("hold ended");
-            hold = -1;
-            validUntilMs = 0;
-            for (int p = 0; p < tokens.length; p++) {
-              lose(p);
-            }
-            newHold();
-          } else {
-            renewLater(300);
-          }
-        });
   }
 
   /** Called by an owner whose write failed on its claim. */
@@ -214,7 +165,7 @@
       }
       return;
     }
-    if (claiming[shard] || hold < 0 || !surelyHeld()) {
+    if (claiming[shard] || !surelyHeld()) {
       return;
     }
     if (loop.nowMs() - leftMs < leaseMs && heardMs <= leftMs) {
@@ -244,13 +195,13 @@
 
   private void claim(int shard, long version) {
     claiming[shard] = true;
-    long id = hold;
+    long id = lease.id();
     store.commit(
         new TransactionBuilder().when(key(shard), version).putHeld(key(shard), new Claim(me), id),
         outcome -> {
           claiming[shard] = false;
           freeSince[shard] = -1;
-          if (outcome.done() && hold == id) {
+          if (outcome.done() && lease.id() == id) {
             tokens[shard] = outcome.revision();
             LOG.info("shard {} won with token {}", shard, tokens[shard]);
             listener.won(shard, tokens[shard]);
--- /dev/null
+++ b/src/test/java/dev/windbend/shard/NodeLeaseTest.java
@@ -0,0 +1,107 @@
+package dev.windbend.shard;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.windbend.daemon.io.ManualLoop;
+import dev.windbend.daemon.io.Web;
+import dev.windbend.store.StoreClient;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+
+class NodeLeaseTest {
+  private static final long TERM_MS = 4_000;
+  private static final long RENEWAL_MS = TERM_MS / 4;
+
+  private final ManualLoop loop = new ManualLoop(100_000);
+  private final List<String> asked = new ArrayList<>();
+  private final List<Consumer<Web.Reply>> unanswered = new ArrayList<>();
+  private int ended;
+
+  private final StoreClient store = new StoreClient(loop, this::hold, "state:1", 1_000, 100, 8, 1);
+  private final NodeLease lease = new NodeLease(loop, store, TERM_MS, () -> ended++);
+
+  private void hold(
+      String address,
+      String method,
+      String path,
+      byte[] body,
+      long limitMs,
+      Consumer<Web.Reply> done) {
+    asked.add(path);
+    unanswered.add(done);
+  }
+
+  private void answer(int call, int status, String body) {
+    unanswered.get(call).accept(new Web.Reply(status, body.getBytes(StandardCharsets.UTF_8)));
+  }
+
+  private void grant(int call, int id) {
+    answer(call, 200, "{\"permit\":" + id + "}");
+  }
+
+  private void pass(long ms) {
+    loop.nowMs += ms;
+    loop.fire();
+  }
+
+  /**
+   * A controller that had just started read answers seconds late, and sent each renewal only after
+   * the answer to the one before: its lease ended with the answer waiting in its socket.
+   */
+  @Test
+  void renewalsDoNotWaitForAnswers() {
+    lease.acquire();
+    grant(0, 7);
+    for (int i = 0; i < 3; i++) {
+      pass(RENEWAL_MS);
+    }
+    assertThat(asked)
+        .containsExactly("/holds", "/holds/7/renew", "/holds/7/renew", "/holds/7/renew");
+  }
+
+  @Test
+  void answersOutOfOrderNeverShortenTheLease() {
+    lease.acquire();
+    grant(0, 7);
+    pass(RENEWAL_MS);
+    pass(RENEWAL_MS);
+    grant(2, 7);
+    grant(1, 7);
+    loop.nowMs += TERM_MS - 200;
+    assertThat(lease.surelyHeld()).isTrue();
+    loop.nowMs += 200;
+    assertThat(lease.surelyHeld()).isFalse();
+  }
+
+  @Test
+  void answersForAFormerLeaseSayNothing() {
+    lease.acquire();
+    grant(0, 7);
+    pass(RENEWAL_MS);
+    pass(RENEWAL_MS);
+    answer(1, 404, "{}");
+    assertThat(ended).isEqualTo(1);
+    assertThat(lease.id()).isEqualTo(NodeLease.NONE);
+    grant(2, 7);
+    assertThat(lease.surelyHeld()).as("renewed before it ended").isFalse();
+    grant(3, 8);
+    assertThat(lease.id()).isEqualTo(8);
+    answer(2, 404, "{}");
+    assertThat(ended).as("the former one once more").isEqualTo(1);
+    assertThat(lease.surelyHeld()).isTrue();
+  }
+
+  @Test
+  void aRefusedRenewalIsSentAgainSoon() {
+    lease.acquire();
+    grant(0, 7);
+    pass(RENEWAL_MS);
+    answer(1, 503, "{}");
+    assertThat(loop.waiting).as("one timer only").hasSize(1);
+    pass(300);
+    assertThat(asked).containsExactly("/holds", "/holds/7/renew", "/holds/7/renew");
+  }
+}
