--- a/src/main/java/dev/windbend/daemon/Node.java
+++ b/src/main/java/dev/windbend/daemon/Node.java
@@ -1,7 +1,6 @@
 package dev.windbend.daemon;
 
 import dev.windbend.daemon.io.EventLoop;
-import dev.windbend.daemon.io.Json;
 import dev.windbend.daemon.io.Names;
 import dev.windbend.daemon.io.Web;
 import dev.windbend.job.Cancellations;
@@ -28,6 +27,7 @@
 import dev.windbend.store.StoreClient;
 import dev.windbend.store.VersionedValue;
 import dev.windbend.worker.DirectStopClient;
+import dev.windbend.worker.ReportReader;
 import dev.windbend.worker.WorkerMessages;
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.Gauge;
@@ -335,8 +335,13 @@
   // ---- workers
 
   private void hello(byte[] body, Consumer<Web.Answer> done) {
-    WorkerMessages.Report r = Json.read(body, WorkerMessages.Report.class);
-    if (r == null || !r.valid()) {
+    if (!replica.synced()) {
+      // Whose machine it is can't be told yet, and reading the report would delay the mirror.
+      done.accept(Web.Answer.bare(503));
+      return;
+    }
+    WorkerMessages.Report r = ReportReader.read(body);
+    if (r == null) {
       done.accept(Web.Answer.bare(400));
       return;
     }
--- a/src/main/java/dev/windbend/machine/MachineIndex.java
+++ b/src/main/java/dev/windbend/machine/MachineIndex.java
@@ -9,7 +9,11 @@
 
 /** Which shard each machine belongs to, as the mirrored records tell. */
 public final class MachineIndex {
-  private static final int FORMER_KEPT = 4_000;
+  /**
+   * Several fleets of 4,000 machines. A late copy of a report of a machine that was forgotten even
+   * so has it taken in as a found machine, which is silent and goes back: some calls, no harm.
+   */
+  private static final int FORMER_KEPT = 20_000;
 
   private record Home(String key, int shard, long fence) {}
 
--- a/src/main/java/dev/windbend/shard/SchedulingLoop.java
+++ b/src/main/java/dev/windbend/shard/SchedulingLoop.java
@@ -52,6 +52,9 @@
   private long count;
   private boolean due;
 
+  /** The last round left jobs out. */
+  private boolean partial;
+
   SchedulingLoop(
       EventLoop loop,
       MachineTypeCatalog catalog,
@@ -97,9 +100,10 @@
     }
   }
 
-  /** Events are joined when rounds cost much. */
+  /** Events are joined when rounds cost much, unless the last round left jobs out. */
   private long gapMs() {
-    return Math.min(LONGEST_GAP_MS, Math.max(GAP_MS, COST_PART * costMs));
+    long parts = partial ? 1 : COST_PART;
+    return Math.min(LONGEST_GAP_MS, Math.max(GAP_MS, parts * costMs));
   }
 
   private void onEvent() {
@@ -139,7 +143,7 @@
       }
     }
     List<Job> works = start.next(waiting);
-    boolean all = works.size() == waiting.size();
+    partial = works.size() < waiting.size();
     List<Machine> rooms = new ArrayList<>();
     for (Machine m : fleet.machines()) {
       if (!m.returning && !m.draining && m.unheard == 0 && now >= m.fullUntilMs) {
@@ -153,7 +157,7 @@
             snapshots.build(now, count % OLDEST_FIRST == 0, works, rooms, offers, running));
     carryOut(wanted, now, works, rooms, running);
     // Machines that look idle may be needed by jobs that this round left out.
-    spare(all ? wanted.spare() : List.of(), rooms);
+    spare(partial ? List.of() : wanted.spare(), rooms);
     MachineRequest.Overdue overdue =
         loans.mayAskForOverdue() ? overdueJobs.tasksWithoutRoom(now) : null;
     if ((wanted.shortCores() > 0 || overdue != null) && loans.mayAsk()) {
@@ -170,13 +174,13 @@
     } else if (!loans.asking()) {
       rent(wanted.rentals(), offers, 0);
     }
-    if (all) {
+    if (!partial) {
       for (int i : wanted.giveBack()) {
         fleet.giveBack(rooms.get(i), "idle at the end of its block");
       }
     }
     costMs = loop.nowMs() - now;
-    if (!all) {
+    if (partial) {
       want();
     }
   }
--- a/src/main/java/dev/windbend/worker/DirectStopClient.java
+++ b/src/main/java/dev/windbend/worker/DirectStopClient.java
@@ -17,7 +17,9 @@
   static final String PATH = "/commands";
   private static final long LIMIT_MS = 2_000;
   private static final int MOST_AT_ONCE = 12;
-  private static final int MOST_WAITING = 1_000;
+
+  /** One stop for each machine of a fleet twice as large as 4,000: a huge array is cancelled. */
+  private static final int MOST_WAITING = 8_000;
 
   /** Older than that, the machine has reported and been answered. */
   private final long staleMs;
@@ -36,13 +38,17 @@
   }
 
   void send(Machine m, long token, List<WorkerMessages.Order> stops) {
-    if (m.address == null || stops.isEmpty() || waiting.size() >= MOST_WAITING) {
-      return;
+    if (m.address != null && !stops.isEmpty()) {
+      send(m.address, token, m.shift, stops);
+    }
+  }
+
+  void send(String address, long token, long session, List<WorkerMessages.Order> stops) {
+    if (waiting.size() < MOST_WAITING) {
+      WorkerMessages.Commands commands = new WorkerMessages.Commands(token, session, stops);
+      waiting.add(new Waiting(address, commands, loop.nowMs() + staleMs));
+      next();
     }
-    waiting.add(
-        new Waiting(
-            m.address, new WorkerMessages.Commands(token, m.shift, stops), loop.nowMs() + staleMs));
-    next();
   }
 
   private void next() {
--- /dev/null
+++ b/src/main/java/dev/windbend/worker/ReportReader.java
@@ -0,0 +1,135 @@
+package dev.windbend.worker;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParseException;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import dev.windbend.worker.WorkerMessages.Report;
+import dev.windbend.worker.WorkerMessages.TaskState;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Reads workers' reports token by token. Reports are most of what a controller receives, and right
+ * after its start they all come at once, while the code that maps JSON to records by reflection is
+ * not compiled yet. Unknown fields are ignored, and a missing field is the same as null.
+ */
+public final class ReportReader {
+  private static final JsonFactory FACTORY = new JsonFactory();
+
+  private ReportReader() {}
+
+  /** Null if the bytes do not hold a valid report. */
+  public static Report read(byte[] bytes) {
+    try (JsonParser parser = FACTORY.createParser(bytes)) {
+      if (parser.nextToken() != JsonToken.START_OBJECT) {
+        return null;
+      }
+      Report report = new Fields().readReport(parser);
+      return parser.nextToken() == null && report.valid() ? report : null;
+    } catch (IOException e) {
+      return null;
+    }
+  }
+
+  /** The fields of one report, as far as they have been read. */
+  private static final class Fields {
+    private String machine;
+    private String address;
+    private String type;
+    private String zone;
+    private boolean spot;
+    private long shift;
+    private long tally;
+    private long token;
+    private Double recallS;
+    private List<TaskState> tasks;
+
+    Report readReport(JsonParser parser) throws IOException {
+      while (parser.nextToken() == JsonToken.FIELD_NAME) {
+        String name = parser.currentName();
+        parser.nextToken();
+        readField(name, parser);
+      }
+      return new Report(machine, address, type, zone, spot, shift, tally, token, recallS, tasks);
+    }
+
+    private void readField(String name, JsonParser parser) throws IOException {
+      switch (name) {
+        case "truck" -> machine = text(parser);
+        case "addr" -> address = text(parser);
+        case "rig" -> type = text(parser);
+        case "yard" -> zone = text(parser);
+        case "standby" -> spot = flag(parser);
+        case "shift" -> shift = integer(parser);
+        case "tally" -> tally = integer(parser);
+        case "baton" -> token = integer(parser);
+        case "recall_s" -> recallS = isNull(parser) ? null : parser.getDoubleValue();
+        case "drops" -> tasks = isNull(parser) ? null : readTasks(parser);
+        default -> parser.skipChildren();
+      }
+    }
+  }
+
+  private static List<TaskState> readTasks(JsonParser parser) throws IOException {
+    require(parser.currentToken() == JsonToken.START_ARRAY, parser);
+    List<TaskState> tasks = new ArrayList<>();
+    while (parser.nextToken() != JsonToken.END_ARRAY) {
+      require(parser.currentToken() == JsonToken.START_OBJECT, parser);
+      tasks.add(readTask(parser));
+    }
+    return tasks;
+  }
+
+  private static TaskState readTask(JsonParser parser) throws IOException {
+    String task = null;
+    long attempt = 0;
+    String state = null;
+    String cause = null;
+    Boolean saved = null;
+    while (parser.nextToken() == JsonToken.FIELD_NAME) {
+      String name = parser.currentName();
+      parser.nextToken();
+      switch (name) {
+        case "drop" -> task = text(parser);
+        case "run" -> attempt = integer(parser);
+        case "status" -> state = text(parser);
+        case "cause" -> cause = text(parser);
+        case "saved" -> saved = isNull(parser) ? null : Boolean.valueOf(flag(parser));
+        default -> parser.skipChildren();
+      }
+    }
+    return new TaskState(task, attempt, state, cause, saved);
+  }
+
+  private static String text(JsonParser parser) throws IOException {
+    if (isNull(parser)) {
+      return null;
+    }
+    require(parser.currentToken() == JsonToken.VALUE_STRING, parser);
+    return parser.getText();
+  }
+
+  private static boolean flag(JsonParser parser) throws IOException {
+    return !isNull(parser) && parser.getBooleanValue();
+  }
+
+  private static long integer(JsonParser parser) throws IOException {
+    if (isNull(parser)) {
+      return 0;
+    }
+    require(parser.currentToken() == JsonToken.VALUE_NUMBER_INT, parser);
+    return parser.getLongValue();
+  }
+
+  private static boolean isNull(JsonParser parser) {
+    return parser.currentToken() == JsonToken.VALUE_NULL;
+  }
+
+  private static void require(boolean expected, JsonParser parser) throws IOException {
+    if (!expected) {
+      throw new JsonParseException(parser, "unexpected " + parser.currentToken());
+    }
+  }
+}
--- a/src/test/java/dev/windbend/machine/MachineIndexTest.java
+++ b/src/test/java/dev/windbend/machine/MachineIndexTest.java
@@ -60,4 +60,17 @@
         new VersionedValue(Json.tree(new RentalRecord("t", "z", true, 5, null, null)), 10));
     assertThat(directory.shardOf("m1")).isEqualTo(-1);
   }
+
+  /** A fleet of 4,000 is replaced by another: late copies of reports bring none of it back. */
+  @Test
+  void aWholeLargeFleetIsKnownAsFormer() {
+    int fleet = 4_000;
+    for (int i = 0; i < 2 * fleet; i++) {
+      record("w/h/0/r" + i, null, 2 * i + 1, "m" + i);
+      directory.changed("w/h/0/r" + i, null);
+    }
+    for (int i = 0; i < 2 * fleet; i++) {
+      assertThat(directory.knew("m" + i)).isTrue();
+    }
+  }
 }
