--- a/src/main/java/dev/windbend/daemon/Node.java
+++ b/src/main/java/dev/windbend/daemon/Node.java
@@ -99,7 +99,7 @@
     long leaseMs = (long) (1000 * f.workers().leaseS());
     this.claims =
         new ShardOwnership(
-            loop, store, replica, layout, settings.node(), policy.holdMs(), leaseMs, this);
+            loop, store, replica, layout, settings.node(), policy.leaseTermMs(), leaseMs, this);
     Cancellations cancellations = new Cancellations(replica, this::cancelled);
     this.peers =
         new Peers(
--- a/src/main/java/dev/windbend/daemon/Operator.java
+++ b/src/main/java/dev/windbend/daemon/Operator.java
@@ -48,7 +48,7 @@
         flag(ini, "plan", "rounds_on_events", DEFAULTS.roundsOnEvents()),
         millis(ini, "plan", "block_s", DEFAULTS.blockMs(), 1),
         number(ini, "plan", "implied_due", DEFAULTS.impliedDue(), 1),
-        millis(ini, SHARD_SECTION, "hold_s", DEFAULTS.holdMs(), 1),
+        millis(ini, SHARD_SECTION, "hold_s", DEFAULTS.leaseTermMs(), 1),
         flag(ini, "plan", "due_from_aims", DEFAULTS.dueFromAims()),
         number(ini, "worker", "idle_hold", DEFAULTS.idleHold(), 0));
   }
--- a/src/main/java/dev/windbend/shard/NodeLease.java
+++ b/src/main/java/dev/windbend/shard/NodeLease.java
@@ -54,7 +54,7 @@
     }
     acquiring = true;
     long sentMs = loop.nowMs();
-    store.hold(termMs, granted -> acquired(granted, sentMs));
+    store.acquireLease(termMs, granted -> acquired(granted, sentMs));
   }
 
   private void acquired(long granted, long sentMs) {
@@ -94,7 +94,7 @@
     long renewed = id;
     long sentMs = loop.nowMs();
     renewAfter(termMs / RENEWALS_A_TERM);
-    store.renew(
+    store.renewLease(
         renewed,
         status -> {
           // Answers may come out of order, and those for a former lease say nothing about this one.
--- a/src/main/java/dev/windbend/shard/Policy.java
+++ b/src/main/java/dev/windbend/shard/Policy.java
@@ -6,6 +6,6 @@
     boolean roundsOnEvents,
     long blockMs,
     double impliedDue,
-    long holdMs,
+    long leaseTermMs,
     boolean dueFromAims,
     double idleHold) {}
--- a/src/main/java/dev/windbend/shard/SchedulingLoop.java
+++ b/src/main/java/dev/windbend/shard/SchedulingLoop.java
@@ -158,9 +158,11 @@
     carryOut(wanted, now, works, rooms, running);
     // Machines that look idle may be needed by jobs that this round left out.
     spare(partial ? List.of() : wanted.spare(), rooms);
+    // Looking for overdue jobs goes over all jobs and machines: only when others may be asked.
+    boolean mayAsk = loans.mayAsk();
     MachineRequest.Overdue overdue =
-        loans.mayAskForOverdue() ? overdueJobs.tasksWithoutRoom(now) : null;
-    if ((wanted.shortCores() > 0 || overdue != null) && loans.mayAsk()) {
+        mayAsk && loans.mayAskForOverdue() ? overdueJobs.tasksWithoutRoom(now) : null;
+    if (mayAsk && (wanted.shortCores() > 0 || overdue != null)) {
       loans.ask(
           wanted.shortCores(),
           catalog.largestCores(),
--- a/src/main/java/dev/windbend/shard/ShardLog.java
+++ b/src/main/java/dev/windbend/shard/ShardLog.java
@@ -63,7 +63,7 @@
   void unsure(long now, long storeFailsMs) {
     if (due(now)) {
       LOG.info(
-          "shard {}: nothing is placed, the hold is not sure; no answer of the state service for {} s",
+          "shard {}: nothing is placed, the lease is not sure; no answer of the state service for {} s",
           shard,
           storeFailsMs / 1000);
     }
--- a/src/main/java/dev/windbend/store/StoreClient.java
+++ b/src/main/java/dev/windbend/store/StoreClient.java
@@ -179,13 +179,13 @@
   }
 
   /** Hands the new lease's id, or -1. Not queued: ownership must not wait behind other calls. */
-  public void hold(long lifeMs, Consumer<Long> done) {
+  public void acquireLease(long termMs, Consumer<Long> done) {
     reads.force();
     send(
         0,
         "POST",
         "/holds",
-        Json.write(new StoreMessages.Life(lifeMs)),
+        Json.write(new StoreMessages.Life(termMs)),
         LIMIT_MS,
         reply -> {
           StoreMessages.Lease l =
@@ -195,7 +195,7 @@
   }
 
   /** Hands the status: 200 renewed, 404 ended, anything else unknown. */
-  public void renew(long lease, Consumer<Integer> done) {
+  public void renewLease(long lease, Consumer<Integer> done) {
     reads.force();
     send(
         0,
--- a/src/main/java/dev/windbend/worker/DirectStopClient.java
+++ b/src/main/java/dev/windbend/worker/DirectStopClient.java
@@ -10,8 +10,8 @@
 /**
  * Tells machines at once to stop tasks of cancelled jobs, instead of with the answer to their next
  * report: that comes seconds later, and not at all from a machine that reaches no node. It needs no
- * hold and may land late: an attempt of a cancelled job is never wanted again, and the token fences
- * it. Nothing relies on it; what is lost or dropped here the next answer says again.
+ * lease and may land late: an attempt of a cancelled job is never wanted again, and the token
+ * fences it. Nothing relies on it; what is lost or dropped here the next answer says again.
  */
 public final class DirectStopClient {
   static final String PATH = "/commands";
--- a/src/main/java/dev/windbend/worker/ReportHandler.java
+++ b/src/main/java/dev/windbend/worker/ReportHandler.java
@@ -176,7 +176,7 @@
   }
 
   /**
-   * Unsure of our hold, or of what is on the machine, we only keep leases alive, and stop tasks of
+   * Unsure of our lease, or of what is on the machine, we only keep leases alive, and stop tasks of
    * cancelled jobs: nobody takes a lease's end for proof, and a successor's token is higher. Not if
    * others are served, so that workers find them, and not for longer than is said in {@link
    * dev.windbend.peer.Peers#mayKeepWorkers}. Asked when the answer goes out, as it may have waited.
@@ -188,11 +188,7 @@
   }
 
   private static boolean hasRoom(Machine m) {
-    double free = m.type.cores();
-    for (Placement p : m.tasks.values()) {
-      free -= p.job.spec.cores();
-    }
-    return free >= 1 && !m.draining && !m.returning && m.recorded();
+    return !m.draining && !m.returning && m.recorded() && m.freeCores() >= 1;
   }
 
   private static boolean startPending(Machine m) {
--- a/src/main/java/dev/windbend/worker/TaskReconciler.java
+++ b/src/main/java/dev/windbend/worker/TaskReconciler.java
@@ -174,7 +174,7 @@
   }
 
   /**
-   * Stops for all reported tasks of cancelled jobs. They need no hold: they are right whoever owns
+   * Stops for all reported tasks of cancelled jobs. They need no lease: they are right whoever owns
    * the shard, and without them an owner that is unsure through an outage would keep such a task
    * alive, by renewing its machine's lease, for longer than {@code cancel_s}.
    */
