--- a/src/main/java/dev/windbend/daemon/Main.java
+++ b/src/main/java/dev/windbend/daemon/Main.java
@@ -68,7 +68,9 @@
     try {
       Settings settings = rehearse ? Rehearsal.settings() : Settings.read(arguments.config());
       Policy policy =
-          arguments.settings() == null ? Operator.defaults() : Operator.read(arguments.settings());
+          arguments.settings() == null
+              ? Operator.defaults()
+              : Operator.read(arguments.settings(), settings.facts().zones());
       return new Main(rehearse).listen(settings, policy);
     } catch (Settings.Invalid e) {
       System.err.println("windbend: " + e.getMessage());
--- a/src/main/java/dev/windbend/daemon/Node.java
+++ b/src/main/java/dev/windbend/daemon/Node.java
@@ -29,6 +29,10 @@
 import dev.windbend.worker.DirectStopClient;
 import dev.windbend.worker.ReportReader;
 import dev.windbend.worker.WorkerMessages;
+import dev.windbend.zone.ZoneMetrics;
+import dev.windbend.zone.ZoneRecord;
+import dev.windbend.zone.ZoneState;
+import dev.windbend.zone.ZoneStatus;
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.Measurement;
@@ -51,8 +55,10 @@
   private static final Logger LOG = LoggerFactory.getLogger(Node.class);
   private static final String EVERYTHING = "w/";
   private static final long STALE_MS = 3_000;
+  private static final String ZONES = "/zones";
 
   private final Settings settings;
+  private final Policy policy;
   private final StoreClient store;
   private final CloudClient cloud;
   private final MachineTypeCatalog catalog;
@@ -68,11 +74,13 @@
   private final Map<Integer, ShardOwner> owners = new LinkedHashMap<>();
   private final MachineIndex directory = new MachineIndex();
   private final Progress progress = new Progress();
+  private final ZoneMetrics zoneMetrics = new ZoneMetrics();
   private final MeterRegistry meters = new SimpleMeterRegistry();
   private final Map<Integer, Counter> answered = new HashMap<>();
 
   public Node(Settings settings, Policy policy, EventLoop loop, Web web) {
     this.settings = settings;
+    this.policy = policy;
     Settings.Facts f = settings.facts();
     List<String> nodes = new ArrayList<>(List.of(settings.node()));
     List<String> addresses = new ArrayList<>();
@@ -110,7 +118,15 @@
             Peers.keepMs(f.workers().leaseS(), f.workers().cancelS()),
             cancellations);
     JobHandler door =
-        new JobHandler(loop, store, replica, progress, cancellations, peers::tell, this::judge);
+        new JobHandler(
+            loop,
+            store,
+            replica,
+            progress,
+            cancellations,
+            peers::tell,
+            this::judge,
+            this::waitsFor);
     DirectStopClient directStops = new DirectStopClient(loop, web, f.workers().reportS());
     this.lending =
         new TransferClient(web, layout.shards(), claims::owner, peerAddresses, this::lend);
@@ -136,7 +152,9 @@
             directStops,
             estimates,
             images,
-            lending);
+            lending,
+            settings.zone(),
+            zoneMetrics);
     Gauge.builder("windbend.shards", owners, Map::size).register(meters);
     Gauge.builder("windbend.jobs.live", this, n -> n.sum(ShardOwner::liveJobs)).register(meters);
     Gauge.builder("windbend.machines", this, n -> n.sum(ShardOwner::machineCount)).register(meters);
@@ -275,10 +293,30 @@
       case TransferClient.PATH -> method("POST", request, done, () -> lending.serve(request, done));
       case "/metrics" ->
           method("GET", request, done, () -> done.accept(Web.Answer.of(200, metrics())));
+      case ZONES -> method("GET", request, done, () -> done.accept(Web.Answer.of(200, zones())));
       default -> done.accept(Web.Answer.bare(404));
     }
   }
 
+  /** How the zones stand for each shard of this node. */
+  private List<ZoneStatus> zones() {
+    List<ZoneStatus> all = new ArrayList<>();
+    owners.values().forEach(o -> all.addAll(o.zones()));
+    return all;
+  }
+
+  /** Why a job waits, where its user should know; null: nothing to say. */
+  private String waitsFor(JobSpec spec) {
+    int team = layout.team(spec.team());
+    if (!policy.zones().enabled() || spec.zone() == null || team < 0) {
+      return null;
+    }
+    ZoneRecord record =
+        ZoneRecord.read(replica.get(ZoneRecord.key(layout.shardOf(team), spec.zone())));
+    boolean lost = record != null && record.state() == ZoneState.UNREACHABLE;
+    return lost ? "zone " + spec.zone() + " is unreachable" : null;
+  }
+
   private static void method(
       String wanted, Web.Request request, Consumer<Web.Answer> done, Runnable handler) {
     if (request.method().equals(wanted)) {
@@ -304,6 +342,9 @@
         all.put(name + "." + v.getStatistic().getTagValueRepresentation(), v.getValue());
       }
     }
+    if (policy.zones().enabled()) {
+      all.putAll(zoneMetrics.values());
+    }
     return all;
   }
 
--- a/src/main/java/dev/windbend/job/JobHandler.java
+++ b/src/main/java/dev/windbend/job/JobHandler.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -32,6 +33,7 @@
   private final Progress progress;
   private final Cancellations cancellations;
   private final Consumer<Cancellations.Cancelled> tellOthers;
+  private final Function<JobSpec, String> waitsFor;
   private boolean writing;
 
   /** Says whether a job could ever run; null if that can't be told yet. */
@@ -47,6 +49,7 @@
   /**
    * @param tellOthers tells the other nodes of a cancellation that their mirrors may lack; the
    *     user's answer does not wait for it
+   * @param waitsFor why a job waits, where its user should know; null: nothing to say
    */
   public JobHandler(
       EventLoop loop,
@@ -55,7 +58,8 @@
       Progress progress,
       Cancellations cancellations,
       Consumer<Cancellations.Cancelled> tellOthers,
-      Fitness fitness) {
+      Fitness fitness,
+      Function<JobSpec, String> waitsFor) {
     this.loop = loop;
     this.store = store;
     this.lookup = new Lookup(loop, store, replica);
@@ -63,6 +67,7 @@
     this.cancellations = cancellations;
     this.tellOthers = tellOthers;
     this.fitness = fitness;
+    this.waitsFor = waitsFor;
   }
 
   public static boolean serves(String path) {
@@ -162,7 +167,7 @@
                           .accept(
                               Web.Answer.of(
                                   201,
-                                  new UserMessages.Status(
+                                  UserMessages.Status.of(
                                       a.record().spec().uid(), Statuses.PENDING, null, null)));
                     });
             case CONFLICT ->
@@ -214,7 +219,7 @@
                   confirm(uid, outcome.revision());
                   done.accept(
                       Web.Answer.of(
-                          200, new UserMessages.Status(uid, Statuses.CANCELLED, null, null)));
+                          200, UserMessages.Status.of(uid, Statuses.CANCELLED, null, null)));
                 } else if (outcome.kind() == Outcome.Kind.CONFLICT && tries > 1) {
                   cancel(uid, tries - 1, done);
                 } else {
@@ -230,7 +235,7 @@
     }
     if (found.over() != null) {
       return Web.Answer.of(
-          200, new UserMessages.Status(uid, found.over().status(), found.over().done(), 0));
+          200, UserMessages.Status.of(uid, found.over().status(), found.over().done(), 0));
     }
     if (found.live() == null) {
       return Web.Answer.bare(404);
@@ -247,7 +252,9 @@
         live.cancelled()
             ? Statuses.CANCELLED
             : tasks.running() > 0 ? Statuses.RUNNING : Statuses.PENDING;
-    return Web.Answer.of(200, new UserMessages.Status(uid, status, tasks.done(), tasks.running()));
+    String reason = status.equals(Statuses.PENDING) ? waitsFor.apply(live.spec()) : null;
+    return Web.Answer.of(
+        200, new UserMessages.Status(uid, status, tasks.done(), tasks.running(), reason));
   }
 
   private void confirm(String uid, long revision) {
--- a/src/main/java/dev/windbend/job/UserMessages.java
+++ b/src/main/java/dev/windbend/job/UserMessages.java
@@ -30,11 +30,21 @@
       @JsonProperty("stow_s") JsonNode saveS,
       @JsonProperty("due_s") JsonNode dueS) {}
 
+  /**
+   * How a job stands.
+   *
+   * @param reason why it waits, where that is more than its turn; null: nothing to say
+   */
   record Status(
       @JsonProperty("uid") String uid,
       @JsonProperty("status") String status,
       @JsonProperty("done") Integer done,
-      @JsonProperty("running") Integer running) {}
+      @JsonProperty("running") Integer running,
+      @JsonProperty("reason") String reason) {
+    static Status of(String uid, String status, Integer done, Integer running) {
+      return new Status(uid, status, done, running, null);
+    }
+  }
 
   record Problem(@JsonProperty("error") String error) {}
 }
--- a/src/main/java/dev/windbend/machine/Fleet.java
+++ b/src/main/java/dev/windbend/machine/Fleet.java
@@ -252,14 +252,30 @@
   }
 
   public void giveBack(Machine m, String why) {
-    if (!m.returning && !m.gone) {
-      LOG.info("returning {}: {}", m.name, why);
-      m.returning = true;
-      leaving.add(m);
+    giveBack(List.of(m), why);
+  }
+
+  /** Gives machines back to the cloud in this order, in as few calls as there can be. */
+  public void giveBack(List<Machine> some, String why) {
+    boolean any = false;
+    for (Machine m : some) {
+      if (!m.returning && !m.gone) {
+        LOG.info("returning {}: {}", m.name, why);
+        m.returning = true;
+        leaving.add(m);
+        any = true;
+      }
+    }
+    if (any) {
       pursue();
     }
   }
 
+  /** How many machines are being given back. */
+  public int leavingCount() {
+    return leaving.size();
+  }
+
   /** Pursues what is under way: rentals to ask, machines to give back. */
   public void pursue() {
     if (closed || !host.mayAct()) {
--- a/src/main/java/dev/windbend/machine/Machine.java
+++ b/src/main/java/dev/windbend/machine/Machine.java
@@ -37,6 +37,9 @@
   /** No new tasks. */
   public boolean draining;
 
+  /** Its zone is unreachable, or returning and not yet open for it: no new work. */
+  public boolean zoneClosed;
+
   /** Being given back until the cloud confirms. */
   public boolean returning;
 
@@ -180,7 +183,13 @@
   }
 
   public boolean usable(long nowMs) {
-    return recorded() && confirmed && !draining && !returning && !gone && nowMs >= fullUntilMs;
+    return recorded()
+        && confirmed
+        && !draining
+        && !zoneClosed
+        && !returning
+        && !gone
+        && nowMs >= fullUntilMs;
   }
 
   /**
--- a/src/main/java/dev/windbend/machine/MachineHealth.java
+++ b/src/main/java/dev/windbend/machine/MachineHealth.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.IntPredicate;
 
 /** Finds machines of a shard that are silent, deaf, never came up, or are due to leave. */
 public final class MachineHealth {
@@ -31,6 +32,18 @@
   /** One lost answer alone says nothing. */
   private static final int UNHEARD = 2;
 
+  /** How a machine stands, as its reports tell. */
+  public enum Condition {
+    /** It has not reported yet, and need not have. */
+    BOOTING,
+    /** It reports, and shows the effect of our answers. */
+    HEARD,
+    /** A report is overdue. */
+    SILENT,
+    /** It reports, but shows no effect of our answers. */
+    DEAF
+  }
+
   private final Fleet fleet;
   private final int zones;
   private final long reportMs;
@@ -52,13 +65,27 @@
     this.silentMs = (long) (1250 * reportS) + LOST_ANSWER_MS;
   }
 
+  /** How a machine stands now. */
+  public Condition condition(Machine m, long now, long sureSinceMs) {
+    if (m.seenMs < 0) {
+      // One that was taken over has had its time to find us; another may still boot.
+      boolean overdue = m.inherited() && now - Math.max(sureSinceMs, m.rentedMs) > silentMs;
+      return overdue ? Condition.SILENT : Condition.BOOTING;
+    }
+    if (now - Math.max(m.seenMs, sureSinceMs) > MISSED_REPORTS * reportMs) {
+      return Condition.SILENT;
+    }
+    return m.unheard >= UNHEARD ? Condition.DEAF : Condition.HEARD;
+  }
+
   /**
    * Looks at all machines once, and gives back or lends those that are to go.
    *
+   * @param evacuated zones whose lost machines are given back in the order of their evacuation
    * @param sureSinceMs since when this owner has been able to hear and answer; the machines'
    *     silence counts from then
    */
-  public void look(long now, long sureSinceMs) {
+  public void look(long now, long sureSinceMs, IntPredicate evacuated) {
     List<Machine> silent = new ArrayList<>();
     List<Machine> deaf = new ArrayList<>();
     int[] heard = new int[zones];
@@ -69,12 +96,13 @@
       if (m.returning) {
         continue;
       }
+      boolean ownRule = !evacuated.test(m.zone);
       if (m.seenMs < 0) {
-        neverSeen(m, now, sureSinceMs);
+        neverSeen(m, now, sureSinceMs, ownRule);
         continue;
       }
       long quiet = now - Math.max(m.seenMs, sureSinceMs);
-      if (quiet > silentMs) {
+      if (quiet > silentMs && ownRule) {
         silent.add(m);
       }
       if (quiet > MISSED_REPORTS * reportMs) {
@@ -83,7 +111,7 @@
         heard[m.zone]++;
         talking++;
       }
-      if (m.unheard >= UNHEARD) {
+      if (m.unheard >= UNHEARD && ownRule) {
         deaf.add(m);
       }
       boolean empty = m.draining && m.tasks.isEmpty();
@@ -128,12 +156,14 @@
     return seen >= FEW && now - heardMs > Math.max(2 * reportMs, LOST_ANSWER_MS);
   }
 
-  private void neverSeen(Machine m, long now, long sureSinceMs) {
+  private void neverSeen(Machine m, long now, long sureSinceMs, boolean ownRule) {
     // Inherited ones count from the takeover, so they get their time to find us.
     long patience = (long) Math.max(SHORTEST_CHARGE_MS, 1000 * BOOT_PATIENCE * m.type.bootS());
     if (now - m.rentedMs > patience) {
       fleet.giveBack(m, "never came up");
-    } else if (!m.tasks.isEmpty() && now - Math.max(sureSinceMs, m.rentedMs) > 2 * silentMs) {
+    } else if (ownRule
+        && !m.tasks.isEmpty()
+        && now - Math.max(sureSinceMs, m.rentedMs) > 2 * silentMs) {
       fleet.giveBack(m, "silent since the takeover");
     }
   }
--- a/src/main/java/dev/windbend/plan/Planner.java
+++ b/src/main/java/dev/windbend/plan/Planner.java
@@ -165,6 +165,9 @@
     order.sort(
         Comparator.<Ask>comparingInt(a -> a.w.rank())
             .thenComparing(a -> a.w.hopeless())
+            .thenComparing(a -> !a.w.displaced())
+            .thenComparingLong(a -> a.w.displaced() ? a.w.dueMs() : 0)
+            .thenComparingLong(a -> a.w.displaced() ? a.w.dueMs() - a.w.estimateMs() : 0)
             .thenComparingDouble(a -> remaining(a.w)));
     for (Ask a : order) {
       serve(a, a.left);
--- a/src/main/java/dev/windbend/plan/Snapshot.java
+++ b/src/main/java/dev/windbend/plan/Snapshot.java
@@ -54,8 +54,9 @@
   /**
    * The waiting tasks of a job. {@code types}: allowed ones, null for any; {@code zone} -1: any;
    * {@code overdue}: none of its tasks was placed for so long that one goes first, whatever that
-   * costs; {@code guaranteed}: it fits into its team's guarantee with the team's earlier jobs, and
-   * such work is to start promptly; {@code startByMs}: until then an early start counts for an aim.
+   * costs; {@code displaced}: its tasks lost their machine with a zone; {@code guaranteed}: it fits
+   * into its team's guarantee with the team's earlier jobs, and such work is to start promptly;
+   * {@code startByMs}: until then an early start counts for an aim.
    */
   public record Work(
       int team,
@@ -79,6 +80,7 @@
       long ageMs,
       boolean begun,
       boolean overdue,
+      boolean displaced,
       long notBeforeMs,
       IntOpenHashSet avoidRooms) {}
 
--- a/src/main/java/dev/windbend/shard/OldestWaitingJob.java
+++ b/src/main/java/dev/windbend/shard/OldestWaitingJob.java
@@ -5,6 +5,7 @@
 import dev.windbend.machine.Fleet;
 import dev.windbend.machine.Machine;
 import dev.windbend.machine.TaskRequirements;
+import dev.windbend.zone.ZoneGate;
 
 /** Which job of a shard has waited longest for room, and what for: told to operators. */
 record OldestWaitingJob(String uid, long ageS, String reason) {
@@ -15,6 +16,7 @@
       Fleet fleet,
       Facts facts,
       OverdueJobs overdueJobs,
+      ZoneGate zones,
       long nowMs,
       long wallMs) {
     Job oldest = null;
@@ -26,6 +28,11 @@
     if (oldest == null) {
       return null;
     }
+    long ageS = (wallMs - oldest.submittedWallMs) / 1000;
+    if (oldest.spec.zone() != null && zones.unreachable(oldest.spec.zone())) {
+      String reason = "its zone " + oldest.spec.zone() + ", which is unreachable";
+      return new OldestWaitingJob(oldest.spec.uid(), ageS, reason);
+    }
     int teams = facts.teams().size();
     double used = TeamUsage.cores(board.all(), teams)[oldest.team];
     double usedCards = TeamUsage.cards(board.all(), teams)[oldest.team];
@@ -45,7 +52,7 @@
             || usedCards + oldest.spec.cards() > team.cardsMost() + 1e-6;
     return new OldestWaitingJob(
         oldest.spec.uid(),
-        (wallMs - oldest.submittedWallMs) / 1000,
+        ageS,
         reason(
             oldest.notBeforeMs - nowMs,
             atLimit ? used : -1,
--- a/src/main/java/dev/windbend/shard/Policy.java
+++ b/src/main/java/dev/windbend/shard/Policy.java
@@ -1,6 +1,12 @@
 package dev.windbend.shard;
 
-/** The design's numbers; operators may set them. */
+import dev.windbend.zone.ZonePolicy;
+
+/**
+ * The design's numbers; operators may set them.
+ *
+ * @param takeoverWaitMs for how long the first round after a takeover waits for reports at most
+ */
 public record Policy(
     long periodMs,
     boolean roundsOnEvents,
@@ -8,4 +14,6 @@
     double impliedDue,
     long leaseTermMs,
     boolean dueFromAims,
-    double idleHold) {}
+    double idleHold,
+    long takeoverWaitMs,
+    ZonePolicy zones) {}
--- a/src/main/java/dev/windbend/shard/SchedulingLoop.java
+++ b/src/main/java/dev/windbend/shard/SchedulingLoop.java
@@ -11,6 +11,7 @@
 import dev.windbend.plan.Planner;
 import dev.windbend.plan.Snapshot;
 import dev.windbend.plan.Wanted;
+import dev.windbend.zone.ZoneGate;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -46,6 +47,7 @@
   private final long token;
   private final BooleanSupplier mayAct;
   private final GradualStart start;
+  private final ZoneGate zones;
   private long lastMs;
   private long costMs;
   private long lastRentMs = Long.MIN_VALUE / 2;
@@ -66,9 +68,11 @@
       MachineTransfers loans,
       long token,
       GradualStart start,
+      ZoneGate zones,
       BooleanSupplier mayAct) {
     this.token = token;
     this.start = start;
+    this.zones = zones;
     this.loop = loop;
     this.catalog = catalog;
     this.policy = policy;
@@ -130,34 +134,61 @@
 
   private void round() {
     due = false;
-    if (!mayAct.getAsBoolean() || !start.mayPlan(this::allHeard)) {
+    if (!mayAct.getAsBoolean() || !start.mayPlan(this::inherited)) {
       return;
     }
     long now = loop.nowMs();
     lastMs = now;
     count++;
+    List<Job> waiting = waitingJobs();
+    List<Job> works = start.next(waiting);
+    partial = works.size() < waiting.size();
+    List<Machine> rooms = machinesToPlanOn(now);
+    List<Snapshot.Offer> offers = offers();
+    List<List<Placement>> running = new ArrayList<>();
+    Wanted wanted =
+        Planner.plan(
+            snapshots.build(now, count % OLDEST_FIRST == 0, works, rooms, offers, running));
+    carryOut(wanted, now, works, rooms, running);
+    if (partial) {
+      // Machines that look idle may be needed by jobs that this round left out.
+      loans.spare(List.of());
+    } else {
+      spare(wanted.spare(), rooms);
+    }
+    getMachines(wanted, offers, now);
+    if (!partial) {
+      wanted.giveBack().forEach(i -> fleet.giveBack(rooms.get(i), "idle at the end of its block"));
+    }
+    costMs = loop.nowMs() - now;
+    start.roundTook(costMs, partial);
+    if (partial) {
+      want();
+    }
+  }
+
+  private List<Job> waitingJobs() {
     List<Job> waiting = new ArrayList<>();
     for (Job j : board.all()) {
       if (j.waitingCount() > 0) {
         waiting.add(j);
       }
     }
-    List<Job> works = start.next(waiting);
-    partial = works.size() < waiting.size();
+    return waiting;
+  }
+
+  private List<Machine> machinesToPlanOn(long now) {
     List<Machine> rooms = new ArrayList<>();
     for (Machine m : fleet.machines()) {
-      if (!m.returning && !m.draining && m.unheard == 0 && now >= m.fullUntilMs) {
+      if (!m.returning && !m.draining && !m.zoneClosed && m.unheard == 0 && now >= m.fullUntilMs) {
         rooms.add(m);
       }
     }
-    List<Snapshot.Offer> offers = offers();
-    List<List<Placement>> running = new ArrayList<>();
-    Wanted wanted =
-        Planner.plan(
-            snapshots.build(now, count % OLDEST_FIRST == 0, works, rooms, offers, running));
-    carryOut(wanted, now, works, rooms, running);
-    // Machines that look idle may be needed by jobs that this round left out.
-    spare(partial ? List.of() : wanted.spare(), rooms);
+    return rooms;
+  }
+
+  /** Asks the other shards for machines that are lacking, and rents what they don't give. */
+  private void getMachines(Wanted wanted, List<Snapshot.Offer> offers, long now) {
     // Looking for overdue jobs goes over all jobs and machines: only when others may be asked.
     boolean mayAsk = loans.mayAsk();
     MachineRequest.Overdue overdue =
@@ -176,24 +207,18 @@
     } else if (!loans.asking()) {
       rent(wanted.rentals(), offers, 0);
     }
-    if (!partial) {
-      for (int i : wanted.giveBack()) {
-        fleet.giveBack(rooms.get(i), "idle at the end of its block");
-      }
-    }
-    costMs = loop.nowMs() - now;
-    if (partial) {
-      want();
-    }
   }
 
-  private boolean allHeard() {
+  private GradualStart.Inherited inherited() {
+    int machines = 0;
+    int heard = 0;
     for (Machine m : fleet.machines()) {
-      if (m.inherited() && !m.confirmed) {
-        return false;
+      if (m.inherited()) {
+        machines++;
+        heard += m.confirmed ? 1 : 0;
       }
     }
-    return true;
+    return new GradualStart.Inherited(machines, heard);
   }
 
   private void carryOut(
@@ -237,10 +262,11 @@
     int spared = less;
     for (Wanted.Rental r : rentals) {
       Snapshot.Offer o = offers.get(r.offer());
-      int n = Math.max(0, r.count() - spared);
+      int n = Math.min(zones.rentable(o.zone()), Math.max(0, r.count() - spared));
       spared = Math.max(0, spared - r.count());
       if (n > 0) {
         fleet.rent(catalog.type(o.type()), o.zone(), o.spot(), n);
+        zones.rented(o.zone(), n);
       }
     }
   }
@@ -251,7 +277,7 @@
       Snapshot.Size size = new Snapshot.Size(t.cores(), t.cards(), t.ram());
       for (int zone : t.zones()) {
         for (boolean spot : new boolean[] {true, false}) {
-          if (!fleet.refused(t.index(), zone, spot)) {
+          if (!fleet.refused(t.index(), zone, spot) && zones.rentable(zone) > 0) {
             all.add(
                 new Snapshot.Offer(
                     t.index(),
--- a/src/main/java/dev/windbend/shard/ShardLog.java
+++ b/src/main/java/dev/windbend/shard/ShardLog.java
@@ -6,6 +6,7 @@
 import dev.windbend.machine.Fleet;
 import dev.windbend.machine.Machine;
 import dev.windbend.store.PagedStore;
+import dev.windbend.zone.ZoneGate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -19,6 +20,7 @@
   private final Fleet fleet;
   private final Facts facts;
   private final OverdueJobs overdueJobs;
+  private final ZoneGate zones;
   private final long periodMs;
   private final SchedulingLoop rounds;
   private final PagedStore pages;
@@ -32,6 +34,7 @@
       Fleet fleet,
       Facts facts,
       OverdueJobs overdueJobs,
+      ZoneGate zones,
       long periodMs,
       SchedulingLoop rounds,
       PagedStore pages) {
@@ -41,6 +44,7 @@
     this.fleet = fleet;
     this.facts = facts;
     this.overdueJobs = overdueJobs;
+    this.zones = zones;
     this.periodMs = periodMs;
     this.rounds = rounds;
     this.pages = pages;
@@ -101,7 +105,7 @@
         rounds.costMs(),
         pages.used());
     OldestWaitingJob oldest =
-        OldestWaitingJob.find(board, fleet, facts, overdueJobs, now, loop.wallMs());
+        OldestWaitingJob.find(board, fleet, facts, overdueJobs, zones, now, loop.wallMs());
     oldestWaitS = oldest == null ? 0 : (int) oldest.ageS();
     if (oldest != null) {
       LOG.info(
--- a/src/main/java/dev/windbend/shard/ShardOwner.java
+++ b/src/main/java/dev/windbend/shard/ShardOwner.java
@@ -31,6 +31,10 @@
 import dev.windbend.worker.ReportHandler;
 import dev.windbend.worker.TaskReconciler;
 import dev.windbend.worker.WorkerMessages;
+import dev.windbend.zone.ZoneGate;
+import dev.windbend.zone.ZoneMetrics;
+import dev.windbend.zone.ZoneMonitor;
+import dev.windbend.zone.ZoneStatus;
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
@@ -46,10 +50,6 @@
 public final class ShardOwner implements TaskReconciler.Book, Fleet.Host, ReportHandler.Host {
   private static final Logger LOG = LoggerFactory.getLogger(ShardOwner.class);
   private static final long TICK_MS = 500;
-  private static final int BAD_JOBS = 2;
-  private static final int BAD_MACHINES = 3;
-  private static final long BACK_OFF_MS = 5_000;
-  private static final int BACK_OFF_DOUBLINGS = 4;
 
   private final int shard;
   private final long token;
@@ -63,7 +63,6 @@
   private final ShardOwnership claims;
   private final Peers peers;
   private final Cancellations cancellations;
-  private final Estimates estimates;
   private final Names images;
   private final Committer committer;
   private final PagedStore pages;
@@ -73,6 +72,13 @@
   private final MachineHealth watch;
   private final MachineTransfers loans;
   private final GradualStart gradualStart;
+  private final JobDeadlines deadlines;
+  private final TaskFailures failures;
+
+  /** Null: zones are not looked after. */
+  private final ZoneMonitor zoneMonitor;
+
+  private final ZoneGate zones;
   private final SchedulingLoop rounds;
   private final ReportHandler reports;
   private final ShardLog log;
@@ -105,7 +111,9 @@
       DirectStopClient directStops,
       Estimates estimates,
       Names images,
-      Lender lender) {}
+      Lender lender,
+      String ownZone,
+      ZoneMetrics zoneMetrics) {}
 
   public ShardOwner(int shard, long token, Shared with) {
     this.shard = shard;
@@ -120,7 +128,6 @@
     this.claims = with.claims;
     this.peers = with.peers;
     this.cancellations = with.cancellations;
-    this.estimates = with.estimates;
     this.images = with.images;
     this.committer =
         new Committer(
@@ -139,10 +146,13 @@
     this.loans =
         new MachineTransfers(shard, loop, fleet, guaranteedCores(with.layout), with.lender);
     OverdueJobs overdueJobs = new OverdueJobs(catalog, facts, board, fleet);
+    this.deadlines = new JobDeadlines(loop, catalog, facts, policy, with.estimates);
+    this.zoneMonitor = policy.zones().enabled() ? zoneMonitor(with) : null;
+    this.zones = zoneMonitor == null ? ZoneGate.OPEN : zoneMonitor;
     SnapshotBuilder snapshots =
         new SnapshotBuilder(
-            loop, catalog, facts, policy, estimates, images, board, fleet, overdueJobs);
-    this.gradualStart = new GradualStart(loop, facts.reportS());
+            loop, catalog, facts, policy, deadlines, images, board, fleet, overdueJobs, zones);
+    this.gradualStart = new GradualStart(loop, facts.reportS(), policy.takeoverWaitMs());
     this.rounds =
         new SchedulingLoop(
             loop,
@@ -155,7 +165,9 @@
             loans,
             token,
             gradualStart,
+            zones,
             this::mayAct);
+    this.failures = new TaskFailures(loop, board, fleet, rounds::want);
     this.reports =
         new ReportHandler(
             loop,
@@ -169,7 +181,23 @@
             policy.idleHold());
     this.log =
         new ShardLog(
-            shard, loop, board, fleet, facts, overdueJobs, policy.periodMs(), rounds, pages);
+            shard, loop, board, fleet, facts, overdueJobs, zones, policy.periodMs(), rounds, pages);
+  }
+
+  private ZoneMonitor zoneMonitor(Shared with) {
+    ZoneMonitor.Place place =
+        new ZoneMonitor.Place(
+            shard, with.layout.shards(), with.ownZone, facts.reportS(), facts.leaseS());
+    return new ZoneMonitor(
+        place,
+        policy.zones(),
+        loop,
+        fleet,
+        watch,
+        board,
+        deadlines,
+        new ZoneMonitor.Records(replica::get, committer::touch),
+        with.zoneMetrics);
   }
 
   private int teamHere(ShardLayout layout, String name) {
@@ -204,6 +232,9 @@
       take(e.getValue(), left, now);
     }
     pages.allRestored();
+    if (zoneMonitor != null) {
+      zoneMonitor.takeOver(catalog.zones);
+    }
     ready = true;
     LOG.info(
         "shard {} taken over with token {}: {} jobs, {} machines",
@@ -242,6 +273,11 @@
     return fleet.machines().size();
   }
 
+  /** How the zones stand, if they are looked after. */
+  public List<ZoneStatus> zones() {
+    return zoneMonitor == null ? List.of() : zoneMonitor.status();
+  }
+
   // ---- jobs
 
   private boolean take(VersionedValue s, SortedMap<String, JsonNode> left, long now) {
@@ -381,44 +417,13 @@
   @Override
   public void completed(Placement p, long nowMs) {
     if (p.runningMs >= 0) {
-      estimates.finished(SnapshotBuilder.user(p.job), (nowMs - p.runningMs) / 1000.0);
+      deadlines.finished(p.job, (nowMs - p.runningMs) / 1000.0);
     }
   }
 
   @Override
   public void failed(Placement p, Machine m) {
-    Job job = p.job;
-    LOG.info("{} failed on {}", p.taskName(), m.name);
-    job.failedOn.add(m.name);
-    m.failedJobs.add(job.spec.uid());
-    if (m.failedJobs.stream().filter(this::runsElsewhere).count() >= BAD_JOBS) {
-      quarantine(m);
-    }
-    if (job.failedOn.size() >= BAD_MACHINES) {
-      // It fails everywhere: the job's fault, most likely. Machines are blamed no more for it.
-      job.notBeforeMs =
-          loop.nowMs() + (BACK_OFF_MS << Math.min(job.failures++, BACK_OFF_DOUBLINGS));
-      fleet.machines().forEach(x -> x.failedJobs.remove(job.spec.uid()));
-      job.failedOn.clear();
-    }
-  }
-
-  /**
-   * Only then is its failure the machine's fault: jobs submitted with a mistake fail on every
-   * machine, and two of them would have good machines quarantined, most of all after a takeover.
-   */
-  private boolean runsElsewhere(String uid) {
-    Job job = board.find(uid);
-    return job == null || job.doneCount() > 0;
-  }
-
-  private void quarantine(Machine m) {
-    if (!m.draining) {
-      LOG.warn("{} fails tasks of several jobs: quarantined", m.name);
-      m.draining = true;
-      m.tasks.values().forEach(p -> p.stop(p.job.spec.saveS() + 1));
-      rounds.want();
-    }
+    failures.failed(p, m);
   }
 
   @Override
@@ -434,6 +439,9 @@
   @Override
   public void gone(Machine m) {
     long now = loop.nowMs();
+    if (zoneMonitor != null) {
+      zoneMonitor.gone(m);
+    }
     for (Placement p : List.copyOf(m.tasks.values())) {
       m.remove(p, now);
       p.job.gone(p);
@@ -487,7 +495,10 @@
       if (watch.lostWorkers(now, Math.max(sureSinceMs, claims.heardMs()))) {
         claims.leaveToOthers(shard);
       }
-      watch.look(now, sureSinceMs);
+      if (zoneMonitor != null) {
+        zoneMonitor.look(now, sureSinceMs);
+      }
+      watch.look(now, sureSinceMs, zones::evacuates);
       for (Job job : board.all()) {
         if (job.cancelled && job.over()) {
           board.touched(job);
--- a/src/main/java/dev/windbend/shard/SnapshotBuilder.java
+++ b/src/main/java/dev/windbend/shard/SnapshotBuilder.java
@@ -12,6 +12,7 @@
 import dev.windbend.plan.Deadlines;
 import dev.windbend.plan.Estimates;
 import dev.windbend.plan.Snapshot;
+import dev.windbend.zone.ZoneGate;
 import it.unimi.dsi.fastutil.ints.IntOpenHashSet;
 import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import java.util.ArrayList;
@@ -32,31 +33,34 @@
   private final MachineTypeCatalog catalog;
   private final Facts facts;
   private final Policy policy;
-  private final Estimates estimates;
+  private final JobDeadlines deadlines;
   private final Names images;
   private final JobRegistry board;
   private final Fleet fleet;
   private final OverdueJobs overdueJobs;
+  private final ZoneGate zones;
 
   SnapshotBuilder(
       EventLoop loop,
       MachineTypeCatalog catalog,
       Facts facts,
       Policy policy,
-      Estimates estimates,
+      JobDeadlines deadlines,
       Names images,
       JobRegistry board,
       Fleet fleet,
-      OverdueJobs overdueJobs) {
+      OverdueJobs overdueJobs,
+      ZoneGate zones) {
     this.loop = loop;
     this.catalog = catalog;
     this.facts = facts;
     this.policy = policy;
-    this.estimates = estimates;
+    this.deadlines = deadlines;
     this.images = images;
     this.board = board;
     this.fleet = fleet;
     this.overdueJobs = overdueJobs;
+    this.zones = zones;
   }
 
   /**
@@ -89,6 +93,9 @@
       rooms.add(room(m, on, now));
     }
     for (Fleet.Pending p : fleet.pending()) {
+      if (zones.evacuates(p.zone())) {
+        continue; // nobody can wait for it there
+      }
       for (int i = 0; i < p.count(); i++) {
         rooms.add(pendingRoom(p, now));
       }
@@ -215,20 +222,11 @@
     return new Snapshot.Size(j.spec.cores(), j.spec.cards(), j.spec.ram());
   }
 
-  private double estimateS(Job j) {
-    return Math.max(1, estimates.of(user(j), j.spec.estimateS()));
-  }
-
-  /** Whose recent times tell how long a task will run. */
-  static String user(Job job) {
-    return job.spec.team() + "/" + job.spec.kind();
-  }
-
   private long expectedEnd(Placement p, MachineType t, long now) {
     if (p.stopping()) {
       return now + (long) (1000 * p.stopGraceS) + 1_000;
     }
-    double e = estimateS(p.job);
+    double e = deadlines.estimateS(p.job);
     if (p.runningMs < 0) {
       return p.placedMs
           + (long) (1000 * (e + p.job.spec.imageGb() / Math.max(0.01, t.fetchGbPerS())));
@@ -251,21 +249,13 @@
         avoid.add(roomOf.getInt(m));
       }
     }
-    double[] limits =
-        facts
-            .aims()
-            .limits(
-                j.spec.kind(),
-                j.spec.dueS(),
-                policy.impliedDue() * j.spec.estimateS(),
-                policy.dueFromAims());
-    long age = loop.wallMs() - j.submittedWallMs;
-    double estimateS = estimateS(j);
+    long age = deadlines.ageMs(j);
+    double estimateS = deadlines.estimateS(j);
     double startS =
         Math.max(
             facts.aims().waitS().getOrDefault(j.spec.kind(), 0.0),
             guaranteed.contains(j) ? facts.aims().guaranteeS() : 0);
-    Deadlines due = Deadlines.next(limits, age / 1000.0, estimateS);
+    Deadlines due = deadlines.next(j, age);
     return new Snapshot.Work(
         j.team,
         j.spec.urgency().rank(),
@@ -288,6 +278,7 @@
         age,
         j.begun(),
         OverdueJobs.overdue(j, now),
+        zones.displaced(j),
         j.notBeforeMs,
         avoid);
   }
--- a/src/test/java/dev/windbend/daemon/SettingsTest.java
+++ b/src/test/java/dev/windbend/daemon/SettingsTest.java
@@ -4,12 +4,16 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import dev.windbend.shard.Policy;
+import dev.windbend.zone.ZonePolicy;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 class SettingsTest {
+  private static final List<String> ZONES = List.of("a", "b");
+
   private static final String GOOD =
       """
       host_name = "mast-0"
@@ -80,7 +84,7 @@
 
   @Test
   void operatorsMaySetTheDesignsNumbers() throws Settings.Invalid {
-    Policy p = Operator.parse("[plan]\nperiod_s = 5\nrounds_on_events = false\n");
+    Policy p = Operator.parse("[plan]\nperiod_s = 5\nrounds_on_events = false\n", ZONES);
     assertThat(p.periodMs()).isEqualTo(5_000);
     assertThat(p.roundsOnEvents()).isFalse();
     assertThat(p.blockMs()).isEqualTo(Operator.defaults().blockMs());
@@ -93,16 +97,44 @@
         "[plan]\nperiod_s = 0",
         "[plan]\nrounds_on_events = 1",
         "[shard]\nhold_s = -3",
+        "[shard]\ntakeover_wait_s = -1",
+        "[zone]\nenabled = yes",
+        "[zone]\nbackoff_s = 0",
+        "[zone]\nbackoff_s = 60\nlongest_backoff_s = 30",
+        "[zone]\nreturn_per_s = 0",
+        "[zone]\nzones = a, nowhere",
       })
   void operatorsMistakesAreNamed(String ini) {
-    assertThatThrownBy(() -> Operator.parse(ini))
+    assertThatThrownBy(() -> Operator.parse(ini, ZONES))
         .isInstanceOf(Settings.Invalid.class)
         .hasMessageContaining("must be");
   }
 
+  /** Section, key and range are named, and for zones those that the deployment has. */
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "widen_s = 5000|[zone] widen_s must be a number from 1.0 to 3600.0: 5000",
+        "zones = nowhere|[zone] zones must be zones of the deployment, which are a, b: nowhere",
+      })
+  void mistakesOfZonesAreNamedInFull(String line, String message) {
+    assertThatThrownBy(() -> Operator.parse("[zone]\n" + line, ZONES))
+        .isInstanceOf(Settings.Invalid.class)
+        .hasMessage(message);
+  }
+
+  @Test
+  void zonesAreLookedAfterWhereTheFileSaysSo() throws Settings.Invalid {
+    ZonePolicy p = Operator.parse("[zone]\nenabled = true\nzones = b\n", ZONES).zones();
+    assertThat(p.enabled()).isTrue();
+    assertThat(p.watched()).containsExactly("b");
+    assertThat(Operator.defaults().zones().enabled()).isFalse();
+  }
+
   @Test
   void aFormerNameIsAnsweredWithTheNewOne() {
-    assertThatThrownBy(() -> Operator.parse("[part]\nhold_s = 4"))
+    assertThatThrownBy(() -> Operator.parse("[part]\nhold_s = 4", ZONES))
         .isInstanceOf(Settings.Invalid.class)
         .hasMessageContaining("[shard]");
   }
--- a/src/test/java/dev/windbend/daemon/SimulatedCluster.java
+++ b/src/test/java/dev/windbend/daemon/SimulatedCluster.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dev.windbend.daemon.io.Web;
+import dev.windbend.shard.Policy;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -13,6 +14,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.BiPredicate;
 import java.util.function.Consumer;
 import java.util.function.ToLongFunction;
 
@@ -39,6 +41,9 @@
   private int nextMachine;
   int capacity = 30;
 
+  /** The operators' settings of all nodes. */
+  Policy policy = Operator.defaults();
+
   /** Machines that nodes have given back. */
   int returned;
 
@@ -110,6 +115,9 @@
   /** Pairs "a>b" that can't talk: sends hang. */
   final Set<String> cut = new HashSet<>();
 
+  /** Whether messages from one to another are lost, beside the pairs that can't talk. */
+  BiPredicate<String, String> linkCut = (from, to) -> false;
+
   /** Pairs "a>b" where connections are refused at once. */
   final Set<String> refused = new HashSet<>();
 
@@ -138,7 +146,7 @@
       nodes[i] =
           new Node(
               Settings.parse(settings(i)),
-              Operator.defaults(),
+              policy,
               loop,
               (address, method, path, body, limit, done) ->
                   callFrom(loop, "n" + i, address, method, path, body, limit, done));
@@ -246,7 +254,10 @@
           1_000L + random.nextInt((int) copyMs),
           () -> deliver(from, anywhere, method, path, body, r -> {}));
     }
-    if (cut.contains(from + ">" + to) || mute.contains(from) || random.nextDouble() < loss) {
+    if (cut.contains(from + ">" + to)
+        || linkCut.test(from, to)
+        || mute.contains(from)
+        || random.nextDouble() < loss) {
       return;
     }
     if (loseCommands && path.equals("/commands")) {
@@ -287,6 +298,7 @@
                 body,
                 r -> {
                   if (!cut.contains(to + ">" + from)
+                      && !linkCut.test(to, from)
                       && !answerLost
                       && random.nextDouble() >= loss) {
                     time.at(1 + random.nextInt(10), () -> once.accept(r));
@@ -486,6 +498,11 @@
     return u != null && u.mistaken;
   }
 
+  boolean inZone(String name, String zone) {
+    StandInWorker machine = machines.get(name);
+    return machine != null && machine.zone.equals(zone);
+  }
+
   /** The node that holds a shard's claim; null: none does. */
   String owner(int shard) {
     JsonNode claim = store.value("w/c/" + shard);
--- /dev/null
+++ b/src/test/java/dev/windbend/daemon/ZoneLossTest.java
@@ -0,0 +1,261 @@
+package dev.windbend.daemon;
+
+import static dev.windbend.daemon.Troubles.crash;
+import static dev.windbend.daemon.Troubles.outage;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.windbend.shard.Policy;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiPredicate;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Days in virtual time on which a zone is lost and returns: no rule breaks, and all work ends. */
+class ZoneLossTest {
+  private static final long DAY_MS = 900_000;
+  private static final long LOST_MS = 40_000;
+
+  /** Well after the loss, and before the shortest return. */
+  private static final long SEEN_MS = LOST_MS + 14_000;
+
+  private static final String ZONE = "b";
+
+  private static final String SETTINGS =
+      """
+      [zone]
+      enabled = true
+      lost_after_s = 3
+      return_after_s = 3
+      backoff_s = 15
+      longest_backoff_s = 60
+      decay_s = 120
+      return_per_s = 1
+      widen_s = 5
+      """;
+
+  private static boolean uncut(String from, String to) {
+    return false;
+  }
+
+  private static Arguments day(String name, Consumer<SimulatedCluster> troubles) {
+    return Arguments.of(name, troubles);
+  }
+
+  private static boolean node(String name) {
+    return name.matches("n[0-9]");
+  }
+
+  /** Machines of the zone and controllers hear nothing of each other. */
+  private static BiPredicate<String, String> cutOff(SimulatedCluster w, String zone) {
+    return (from, to) -> (w.inZone(from, zone) && node(to)) || (node(from) && w.inZone(to, zone));
+  }
+
+  private static void lose(SimulatedCluster w, long fromMs, long forMs) {
+    w.time.at(fromMs, () -> w.linkCut = cutOff(w, ZONE));
+    w.time.at(fromMs + forMs, () -> w.linkCut = ZoneLossTest::uncut);
+  }
+
+  static Stream<Arguments> days() {
+    return Stream.of(
+        day("lost for a minute", w -> lose(w, LOST_MS, 60_000)),
+        day(
+            "three flaps in ten minutes",
+            w -> {
+              for (int flap = 0; flap < 3; flap++) {
+                lose(w, LOST_MS + flap * 150_000L, 40_000);
+              }
+            }),
+        day("back while half of its jobs are on the move", w -> lose(w, LOST_MS, 17_000)),
+        day(
+            "flaps every few seconds",
+            w -> {
+              for (int flap = 0; flap < 12; flap++) {
+                lose(w, LOST_MS + flap * 18_000L, 12_000 + flap * 500L);
+              }
+            }),
+        day(
+            "lost together with a controller",
+            w -> {
+              lose(w, LOST_MS, 60_000);
+              w.time.at(LOST_MS, () -> crash(w, 60_000, 1));
+            }),
+        day(
+            "an outage of the state service during evacuation",
+            w -> {
+              lose(w, LOST_MS, 60_000);
+              w.time.at(LOST_MS + 8_000, () -> outage(w, 20_000));
+            }),
+        day(
+            "all controllers crash during evacuation",
+            w -> {
+              lose(w, LOST_MS, 60_000);
+              w.time.at(SEEN_MS, () -> crash(w, 3_000, 0, 1, 2));
+            }),
+        day(
+            "controllers crash in turn during the return",
+            w -> {
+              lose(w, LOST_MS, 30_000);
+              for (int i = 0; i < 3; i++) {
+                int n = i;
+                w.time.at(LOST_MS + 36_000 + 6_000L * i, () -> crash(w, 2_500, n));
+              }
+            }),
+        day(
+            "an outage of the state service during the return",
+            w -> {
+              lose(w, LOST_MS, 30_000);
+              w.time.at(LOST_MS + 37_000, () -> outage(w, 20_000));
+            }),
+        day(
+            "its reports arrive, answers and commands don't",
+            w -> {
+              w.time.at(LOST_MS, () -> w.linkCut = (from, to) -> node(from) && w.inZone(to, ZONE));
+              w.time.at(LOST_MS + 60_000, () -> w.linkCut = ZoneLossTest::uncut);
+            }),
+        day(
+            "commands arrive, its reports don't",
+            w -> {
+              Runnable mute =
+                  () ->
+                      w.machines.values().stream()
+                          .filter(m -> m.zone.equals(ZONE))
+                          .forEach(m -> w.mute.add(m.name));
+              Troubles.each(w, LOST_MS, 1_000, 60, mute);
+              w.time.at(LOST_MS + 60_000, w.mute::clear);
+            }),
+        day(
+            "lost for one controller only",
+            w -> {
+              BiPredicate<String, String> whole = cutOff(w, ZONE);
+              w.time.at(
+                  LOST_MS,
+                  () ->
+                      w.linkCut =
+                          (from, to) ->
+                              (from.equals("n1") || to.equals("n1")) && whole.test(from, to));
+              w.time.at(LOST_MS + 60_000, () -> w.linkCut = ZoneLossTest::uncut);
+            }),
+        day(
+            "the cloud has nothing elsewhere",
+            w -> {
+              lose(w, LOST_MS, 60_000);
+              w.time.at(LOST_MS, () -> w.capacity = 0);
+            }),
+        day(
+            "all zones lost one after the other",
+            w -> {
+              w.time.at(LOST_MS, () -> w.linkCut = cutOff(w, ZONE));
+              w.time.at(LOST_MS + 50_000, () -> w.linkCut = cutOff(w, "a"));
+              w.time.at(LOST_MS + 100_000, () -> w.linkCut = ZoneLossTest::uncut);
+            }),
+        day(
+            "late copies of reports after the return",
+            w -> {
+              w.copies = 0.3;
+              w.copyMs = 90_000;
+              lose(w, LOST_MS, 40_000);
+            }),
+        day(
+            "jobs are cancelled during the move",
+            w -> {
+              lose(w, LOST_MS, 60_000);
+              Troubles.each(w, LOST_MS + 4_000, 4_000, 4, () -> w.cancelNow(2, null));
+            }));
+  }
+
+  private static SimulatedCluster cluster(long seed) {
+    SimulatedCluster w = new SimulatedCluster(seed);
+    w.policy = policy(SETTINGS);
+    w.leastRunMs = 12_000;
+    return w;
+  }
+
+  private static Policy policy(String settings) {
+    try {
+      return Operator.parse(settings, List.of("a", "b"));
+    } catch (Settings.Invalid e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  private static void keepsTheRules(SimulatedCluster w, long seed) {
+    assertThat(w.judge.violations).as("rules, seed %d", seed).isEmpty();
+    assertThat(w.unfinished()).as("unfinished, seed %d", seed).isEmpty();
+    assertThat(w.store.largestValue).as("bytes of a value").isLessThan(4096);
+    assertThat(w.store.liveKeys("w/j/")).as("live jobs").isZero();
+    assertThat(w.machines).as("machines").isEmpty();
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("days")
+  void keepsTheRulesAndEndsAllWork(String name, Consumer<SimulatedCluster> troubles) {
+    int noticed = 0;
+    for (long seed = 1; seed <= 4; seed++) {
+      SimulatedCluster w = cluster(seed * 7_919 + name.hashCode());
+      w.begin(30, 90_000);
+      w.judge.calmFromMs = 460_000;
+      troubles.accept(w);
+      w.time.runUntil(LOST_MS - 1);
+      assertThat(w.store.liveKeys("w/z/")).as("records while all is well").isZero();
+      w.time.runUntil(SEEN_MS);
+      noticed += w.store.liveKeys("w/z/");
+      w.time.runUntil(DAY_MS);
+      keepsTheRules(w, seed);
+      assertThat(w.store.liveKeys("w/z/")).as("records once the backoff has decayed").isZero();
+    }
+    assertThat(noticed).as("losses on record").isPositive();
+  }
+
+  /** Half of a zone: its machines are judged one by one, and the zone is not given up. */
+  @org.junit.jupiter.api.Test
+  void halfAZoneLostIsNoLostZone() {
+    for (long seed = 1; seed <= 4; seed++) {
+      SimulatedCluster w = cluster(seed);
+      w.begin(30, 90_000);
+      BiPredicate<String, String> whole = cutOff(w, ZONE);
+      BiPredicate<String, String> half =
+          (from, to) -> even(from) && even(to) && whole.test(from, to);
+      w.time.at(LOST_MS, () -> w.linkCut = half);
+      w.time.at(LOST_MS + 60_000, () -> w.linkCut = ZoneLossTest::uncut);
+      w.judge.calmFromMs = 150_000;
+      w.time.runUntil(DAY_MS);
+      keepsTheRules(w, seed);
+    }
+  }
+
+  private static boolean even(String name) {
+    return node(name) || name.charAt(name.length() - 1) % 2 == 0;
+  }
+
+  /** Jobs that may run in the lost zone only wait, and their users are told what for. */
+  @org.junit.jupiter.api.Test
+  void usersAreToldThatAJobWaitsForItsZone() {
+    SimulatedCluster w = cluster(3);
+    w.loss = 0;
+    w.late = 0;
+    w.begin(24, 20_000);
+    w.time.at(LOST_MS, () -> w.linkCut = cutOff(w, ZONE));
+    SimulatedUser bound = new SimulatedUser(w, 900, 2, ZONE, true, false);
+    w.time.at(SEEN_MS, bound::submit);
+    Map<String, String> heard = new java.util.HashMap<>();
+    w.time.at(
+        SEEN_MS + 2_000,
+        () ->
+            w.call(
+                "users",
+                "n0:80",
+                "GET",
+                "/v1/jobs/" + bound.uid,
+                null,
+                2_000,
+                r -> heard.put("reason", w.json(r.body()).path("reason").asText())));
+    w.time.at(SEEN_MS + 30_000, () -> w.linkCut = ZoneLossTest::uncut);
+    w.time.runUntil(DAY_MS);
+    assertThat(heard).containsEntry("reason", "zone b is unreachable");
+    keepsTheRules(w, 3);
+  }
+}
--- a/src/test/java/dev/windbend/plan/PlannerTest.java
+++ b/src/test/java/dev/windbend/plan/PlannerTest.java
@@ -71,6 +71,7 @@
     long ageMs;
     boolean begun;
     boolean overdue;
+    boolean displaced;
 
     Work work() {
       return new Work(
@@ -95,6 +96,7 @@
           ageMs,
           begun,
           overdue,
+          displaced,
           0,
           new IntOpenHashSet());
     }
--- /dev/null
+++ b/src/test/java/dev/windbend/zone/EvacuationPlanTest.java
@@ -0,0 +1,193 @@
+package dev.windbend.zone;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.windbend.plan.Planner;
+import dev.windbend.plan.Snapshot;
+import dev.windbend.plan.Wanted;
+import dev.windbend.zone.EvacuationPlan.Lost;
+import dev.windbend.zone.EvacuationPlan.Task;
+import it.unimi.dsi.fastutil.ints.IntOpenHashSet;
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Which machines of a lost zone are given up, in which order, and who gets room elsewhere. */
+class EvacuationPlanTest {
+  private static final long NOW = 1_000_000;
+  private static final long BOOT_MS = 30_000;
+
+  private static Lost machine(String name, long leaseInMs, Task... tasks) {
+    return new Lost(name, NOW + leaseInMs, List.of(tasks));
+  }
+
+  private static Task task(int rank, long dueInMs, long remainingMs, long unsavedMs) {
+    return new Task(rank, NOW + dueInMs, remainingMs, unsavedMs, 1, false);
+  }
+
+  private static List<String> giveUp(Lost... machines) {
+    return EvacuationPlan.giveUp(List.of(machines), BOOT_MS, NOW).stream()
+        .map(Lost::machine)
+        .toList();
+  }
+
+  @ParameterizedTest(name = "due in {0} ms, {1} ms left, {2} ms unsaved, lease {3} ms: {4}")
+  @CsvSource({
+    "900000, 60000, 0, 20000, true", // nothing is lost by moving
+    "900000, 60000, 19999, 20000, true",
+    "900000, 60000, 20000, 20000, false", // as much would be lost as waiting costs
+    "900000, 60000, 50000, 0, true", // the lease is over
+    "110000, 60000, 50000, 20000, false", // in time either way
+    "109999, 60000, 50000, 20000, true", // late if the lease is waited for
+    "89999, 60000, 50000, 20000, false", // late either way
+  })
+  void movesWhatWaitingWouldCostMore(
+      long dueInMs, long remainingMs, long unsavedMs, long leaseInMs, boolean now) {
+    assertThat(giveUp(machine("m", leaseInMs, task(2, dueInMs, remainingMs, unsavedMs))))
+        .hasSize(now ? 1 : 0);
+  }
+
+  @Test
+  void whatIsBoundToTheZoneAndIdleMachinesKeepTheirChance() {
+    Task bound = new Task(0, NOW + 100_000, 60_000, 0, 1, true);
+    assertThat(giveUp(machine("bound", 20_000, bound), machine("idle", 20_000))).isEmpty();
+    assertThat(giveUp(machine("idle", 0), machine("bound", 0, bound)))
+        .containsExactly("bound", "idle");
+  }
+
+  @Test
+  void declaredPriorityComesBeforeDueTimeAndCloseness() {
+    assertThat(
+            giveUp(
+                machine("a", 0),
+                machine("b", 0, task(2, 50_000, 10_000, 0)),
+                machine("c", 0, task(1, 90_000, 10_000, 0)),
+                machine("d", 0, task(1, 90_000, 20_000, 0), task(2, 1, 1, 0)),
+                machine("e", 0, task(1, 80_000, 10_000, 0)),
+                machine("f", 0, task(0, 900_000, 10_000, 0))))
+        .containsExactly("f", "e", "d", "c", "b", "a");
+  }
+
+  /** A displaced job, and what it asks of room elsewhere. */
+  private record Displaced(int rank, int cores, int waiting, long dueInMs, long estimateMs) {
+    private Snapshot.Work work() {
+      return new Snapshot.Work(
+          0,
+          rank,
+          new Snapshot.Size(cores, 0, 1),
+          null,
+          -1,
+          false,
+          false,
+          true,
+          7,
+          0,
+          waiting,
+          waiting,
+          new int[2],
+          estimateMs,
+          NOW + dueInMs,
+          false,
+          false,
+          0,
+          60_000,
+          true,
+          false,
+          true,
+          0,
+          new IntOpenHashSet());
+    }
+  }
+
+  @Provide
+  Arbitrary<List<Displaced>> displaced() {
+    return Combinators.combine(
+            Arbitraries.integers().between(0, 3),
+            Arbitraries.integers().between(1, 8),
+            Arbitraries.integers().between(1, 6),
+            Arbitraries.longs().between(-50_000, 300_000),
+            Arbitraries.longs().between(1_000, 100_000))
+        .as(Displaced::new)
+        .list()
+        .ofMaxSize(12);
+  }
+
+  private static Snapshot.Room room(int freeCores) {
+    return new Snapshot.Room(
+        0,
+        0,
+        true,
+        true,
+        0,
+        new Snapshot.Size(freeCores, 0, 64),
+        0,
+        freeCores == 8,
+        NOW + 600_000,
+        NOW,
+        1,
+        1,
+        new IntOpenHashSet(new int[] {7}),
+        List.of());
+  }
+
+  /**
+   * No priority inversion: where a displaced task was placed, no displaced task of a higher
+   * priority that fits into that room is left waiting.
+   */
+  @Property(tries = 400)
+  void noLowerTaskIsPlacedWhereAHigherOneThatFitsWaits(
+      @ForAll("displaced") List<Displaced> jobs, @ForAll("rooms") List<Integer> freeCores) {
+    List<Snapshot.Work> works = jobs.stream().map(Displaced::work).toList();
+    List<Snapshot.Room> rooms = freeCores.stream().map(EvacuationPlanTest::room).toList();
+    Wanted wanted =
+        Planner.plan(
+            new Snapshot(
+                NOW,
+                10_000,
+                3_000,
+                0,
+                false,
+                0,
+                List.of(new Snapshot.Team(1_000, 0, 0, 0)),
+                works,
+                rooms,
+                List.of()));
+    int[] left = works.stream().mapToInt(Snapshot.Work::waiting).toArray();
+    wanted.places().forEach(p -> left[p.work()]--);
+    for (Wanted.Place placed : wanted.places()) {
+      Displaced lower = jobs.get(placed.work());
+      for (int i = 0; i < jobs.size(); i++) {
+        Displaced higher = jobs.get(i);
+        boolean fits = higher.cores() <= lower.cores();
+        assertThat(left[i] > 0 && higher.rank() < lower.rank() && fits)
+            .as("%s waits, %s is placed", higher, lower)
+            .isFalse();
+      }
+    }
+  }
+
+  @Provide
+  Arbitrary<List<Integer>> rooms() {
+    return Arbitraries.integers().between(1, 8).list().ofMaxSize(6);
+  }
+
+  /** Half of 4,000 machines: the order costs one sort, whatever the number of tasks. */
+  @Test
+  void ordersHalfOfAFleetOfFourThousand() {
+    List<Lost> lost = new ArrayList<>();
+    for (int i = 0; i < 2_000; i++) {
+      lost.add(machine("m%04d".formatted(i), 0, task(i % 4, 1_000L * (i % 7), 10_000, 0)));
+    }
+    List<Lost> order = EvacuationPlan.giveUp(lost, BOOT_MS, NOW);
+    assertThat(order).hasSize(2_000);
+    assertThat(order.stream().map(l -> l.tasks().get(0).rank())).isSorted();
+  }
+}
