--- a/src/main/java/dev/windbend/daemon/Operator.java
+++ b/src/main/java/dev/windbend/daemon/Operator.java
@@ -20,7 +20,7 @@
    * Known without reading INI: a controller that starts with little processor time needs it not.
    */
   private static final Policy DEFAULTS =
-      new Policy(10_000, true, 60_000, 4, 4_000, true, 0.7, 2_000, ZoneSettings.DEFAULTS);
+      new Policy(10_000, true, 60_000, 4, 4_000, true, 0.7, ZoneSettings.DEFAULTS);
 
   public static Policy defaults() {
     return DEFAULTS;
@@ -54,7 +54,6 @@
         ini.millis(SHARD, "hold_s", DEFAULTS.leaseTermMs(), 1, DAY_S),
         ini.flag(PLAN, "due_from_aims", DEFAULTS.dueFromAims()),
         ini.number(WORKER, "idle_hold", DEFAULTS.idleHold(), 0, DAY_S),
-        ini.millis(SHARD, "takeover_wait_s", DEFAULTS.takeoverWaitMs(), 0, DAY_S),
         ZoneSettings.read(ini, zones));
   }
 }
--- a/src/main/java/dev/windbend/shard/Policy.java
+++ b/src/main/java/dev/windbend/shard/Policy.java
@@ -2,11 +2,7 @@
 
 import dev.windbend.zone.ZonePolicy;
 
-/**
- * The design's numbers; operators may set them.
- *
- * @param takeoverWaitMs for how long the first round after a takeover waits for reports at most
- */
+/** The design's numbers; operators may set them. */
 public record Policy(
     long periodMs,
     boolean roundsOnEvents,
@@ -15,5 +11,4 @@
     long leaseTermMs,
     boolean dueFromAims,
     double idleHold,
-    long takeoverWaitMs,
     ZonePolicy zones) {}
--- a/src/main/java/dev/windbend/shard/SchedulingLoop.java
+++ b/src/main/java/dev/windbend/shard/SchedulingLoop.java
@@ -134,7 +134,7 @@
 
   private void round() {
     due = false;
-    if (!mayAct.getAsBoolean() || !start.mayPlan(this::inherited)) {
+    if (!mayAct.getAsBoolean() || !start.mayPlan(this::allHeard)) {
       return;
     }
     long now = loop.nowMs();
@@ -161,7 +161,6 @@
       wanted.giveBack().forEach(i -> fleet.giveBack(rooms.get(i), "idle at the end of its block"));
     }
     costMs = loop.nowMs() - now;
-    start.roundTook(costMs, partial);
     if (partial) {
       want();
     }
@@ -209,16 +208,13 @@
     }
   }
 
-  private GradualStart.Inherited inherited() {
-    int machines = 0;
-    int heard = 0;
+  private boolean allHeard() {
     for (Machine m : fleet.machines()) {
-      if (m.inherited()) {
-        machines++;
-        heard += m.confirmed ? 1 : 0;
+      if (m.inherited() && !m.confirmed) {
+        return false;
       }
     }
-    return new GradualStart.Inherited(machines, heard);
+    return true;
   }
 
   private void carryOut(
--- a/src/main/java/dev/windbend/shard/ShardOwner.java
+++ b/src/main/java/dev/windbend/shard/ShardOwner.java
@@ -152,7 +152,7 @@
     SnapshotBuilder snapshots =
         new SnapshotBuilder(
             loop, catalog, facts, policy, deadlines, images, board, fleet, overdueJobs, zones);
-    this.gradualStart = new GradualStart(loop, facts.reportS(), policy.takeoverWaitMs());
+    this.gradualStart = new GradualStart(loop, facts.reportS());
     this.rounds =
         new SchedulingLoop(
             loop,
--- a/src/test/java/dev/windbend/daemon/SettingsTest.java
+++ b/src/test/java/dev/windbend/daemon/SettingsTest.java
@@ -97,7 +97,6 @@
         "[plan]\nperiod_s = 0",
         "[plan]\nrounds_on_events = 1",
         "[shard]\nhold_s = -3",
-        "[shard]\ntakeover_wait_s = -1",
         "[zone]\nenabled = yes",
         "[zone]\nbackoff_s = 0",
         "[zone]\nbackoff_s = 60\nlongest_backoff_s = 30",
--- a/src/test/java/dev/windbend/daemon/StandInStore.java
+++ b/src/test/java/dev/windbend/daemon/StandInStore.java
@@ -45,6 +45,11 @@
     this.time = time;
   }
 
+  /** How many changes have been made so far. */
+  long changes() {
+    return ledger;
+  }
+
   int liveKeys(String prefix) {
     return keys.subMap(prefix, prefix + '\uffff').size();
   }
--- a/src/test/java/dev/windbend/daemon/ZoneLossTest.java
+++ b/src/test/java/dev/windbend/daemon/ZoneLossTest.java
@@ -22,9 +22,9 @@
   /** Well after the loss, and before the shortest return. */
   private static final long SEEN_MS = LOST_MS + 14_000;
 
-  private static final String ZONE = "b";
+  static final String ZONE = "b";
 
-  private static final String SETTINGS =
+  static final String SETTINGS =
       """
       [zone]
       enabled = true
@@ -54,7 +54,7 @@
     return (from, to) -> (w.inZone(from, zone) && node(to)) || (node(from) && w.inZone(to, zone));
   }
 
-  private static void lose(SimulatedCluster w, long fromMs, long forMs) {
+  static void lose(SimulatedCluster w, long fromMs, long forMs) {
     w.time.at(fromMs, () -> w.linkCut = cutOff(w, ZONE));
     w.time.at(fromMs + forMs, () -> w.linkCut = ZoneLossTest::uncut);
   }
--- a/src/test/java/dev/windbend/plan/PlannerTest.java
+++ b/src/test/java/dev/windbend/plan/PlannerTest.java
@@ -492,4 +492,29 @@
     work(0, 8, 1, 10, 60);
     assertThat(plan().places().stream().filter(p -> p.work() == 0).count()).isEqualTo(placed);
   }
+
+  /** Jobs in the order in which they get the one core that is left, least work and age alike. */
+  @ParameterizedTest(name = "displaced {0} and {1}, due in {2} and {3} s: job {4} is first")
+  @CsvSource({
+    "false, true, 30, 90, 1",
+    "true, false, 90, 30, 0",
+    "true, true, 90, 30, 1",
+    "true, true, 30, 90, 0",
+    "false, false, 90, 30, 0"
+  })
+  void displacedWorkGoesFirstWithinItsRankAndByDueTime(
+      boolean first, boolean second, long firstDueS, long secondDueS, int placed) {
+    room(0, true, 1);
+    work(
+        d -> {
+          d.displaced = first;
+          d.dueMs = NOW + 1_000 * firstDueS;
+        });
+    work(
+        d -> {
+          d.displaced = second;
+          d.dueMs = NOW + 1_000 * secondDueS;
+        });
+    assertThat(plan().places()).extracting(Wanted.Place::work).containsExactly(placed);
+  }
 }
