One-key writes share a base; tests share a job and calls answered by hand

Cause: the record of a zone and that of a transfer wrote the same code for a write whose fate is not known, and three tests the same stand-in of a web call or a job.

--- a/src/main/java/dev/windbend/machine/TransferRecord.java
+++ b/src/main/java/dev/windbend/machine/TransferRecord.java
@@ -1,6 +1,6 @@
 package dev.windbend.machine;
 
-import dev.windbend.store.PendingWrite;
+import dev.windbend.store.RecordWrite;
 import dev.windbend.store.TransactionBuilder;
 import dev.windbend.store.VersionedValue;
 
@@ -8,44 +8,30 @@
  * Machines of one kind on their way to a shard, from another shard or from nobody: one record,
  * below the receiver's key, whatever their number.
  */
-final class TransferRecord implements PendingWrite {
-  private final String key;
+final class TransferRecord extends RecordWrite {
   private final RentalRecord record;
   private final Runnable done;
-  private boolean inFlight;
   private boolean written;
 
   TransferRecord(String key, RentalRecord record, Runnable done) {
-    this.key = key;
+    super(key);
     this.record = record;
     this.done = done;
   }
 
   @Override
-  public boolean dirty() {
-    return !inFlight && !written;
+  protected boolean changed() {
+    return !written;
   }
 
   @Override
-  public boolean urgent(long nowMs) {
-    return true;
-  }
-
-  @Override
-  public int cost() {
-    return 1;
-  }
-
-  @Override
-  public void fill(TransactionBuilder draft) {
-    inFlight = true;
+  protected void add(TransactionBuilder draft) {
     draft.when(key, 0);
     draft.put(key, record);
   }
 
   @Override
-  public void written(long revision) {
-    inFlight = false;
+  protected void applied(long revision) {
     finish();
   }
 
@@ -57,20 +43,10 @@
   }
 
   @Override
-  public void unwritten() {
-    inFlight = false;
-  }
-
-  @Override
-  public void reread(String k, VersionedValue now) {
+  public void reread(String changedKey, VersionedValue now) {
     if (now != null) {
       // Applied by a write of ours whose answer was lost.
       finish();
     }
   }
-
-  @Override
-  public boolean owns(String k) {
-    return k.equals(key);
-  }
 }
--- a/src/main/java/dev/windbend/zone/ZoneRecordWrite.java
+++ b/src/main/java/dev/windbend/zone/ZoneRecordWrite.java
@@ -1,23 +1,23 @@
 package dev.windbend.zone;
 
-import dev.windbend.store.PendingWrite;
+import dev.windbend.store.RecordWrite;
 import dev.windbend.store.TransactionBuilder;
 import dev.windbend.store.VersionedValue;
+import java.util.Objects;
 
 /** Keeps one zone's record in the state service; there is none while all is well. */
-final class ZoneRecordWrite implements PendingWrite {
-  private final String key;
+final class ZoneRecordWrite extends RecordWrite {
   private ZoneRecord wanted;
   private ZoneRecord stored;
-  private ZoneRecord inFlight;
-  private boolean writing;
+  private ZoneRecord underWay;
   private long version;
 
   /**
-   * @param found the record as it is, null: there is none
+   * @param record what the key holds, null: nothing that this version can read
+   * @param found the same as stored, null: there is none
    */
   ZoneRecordWrite(String key, ZoneRecord record, VersionedValue found) {
-    this.key = key;
+    super(key);
     this.wanted = record;
     this.stored = record;
     this.version = found == null ? 0 : found.version();
@@ -29,24 +29,13 @@
   }
 
   @Override
-  public boolean dirty() {
-    return !writing && !java.util.Objects.equals(wanted, stored);
+  protected boolean changed() {
+    return !Objects.equals(wanted, stored);
   }
 
   @Override
-  public boolean urgent(long nowMs) {
-    return true;
-  }
-
-  @Override
-  public int cost() {
-    return 1;
-  }
-
-  @Override
-  public void fill(TransactionBuilder draft) {
-    writing = true;
-    inFlight = wanted;
+  protected void add(TransactionBuilder draft) {
+    underWay = wanted;
     draft.when(key, version);
     if (wanted == null) {
       draft.delete(key);
@@ -56,25 +45,14 @@
   }
 
   @Override
-  public void written(long revision) {
-    writing = false;
-    stored = inFlight;
+  protected void applied(long revision) {
+    stored = underWay;
     version = stored == null ? 0 : revision;
   }
 
   @Override
-  public void unwritten() {
-    writing = false;
-  }
-
-  @Override
-  public void reread(String k, VersionedValue now) {
+  public void reread(String changedKey, VersionedValue now) {
     stored = ZoneRecord.read(now);
     version = now == null ? 0 : now.version();
   }
-
-  @Override
-  public boolean owns(String k) {
-    return k.equals(key);
-  }
 }
--- a/src/test/java/dev/windbend/shard/GradualStartTest.java
+++ b/src/test/java/dev/windbend/shard/GradualStartTest.java
@@ -4,8 +4,7 @@
 
 import dev.windbend.daemon.io.ManualLoop;
 import dev.windbend.job.Job;
-import dev.windbend.job.JobRecord;
-import dev.windbend.job.JobSpec;
+import dev.windbend.job.TestJobs;
 import dev.windbend.job.Urgency;
 import java.util.ArrayList;
 import java.util.List;
@@ -18,31 +17,6 @@
   private final ManualLoop loop = new ManualLoop(50_000);
   private final GradualStart start = new GradualStart(loop, REPORT_S);
 
-  private static Job job(int number, Urgency urgency) {
-    JobSpec spec =
-        new JobSpec(
-            "wk-%06d".formatted(number),
-            "kind",
-            "team",
-            urgency,
-            1,
-            1,
-            0,
-            1,
-            "image",
-            1,
-            null,
-            null,
-            false,
-            false,
-            true,
-            10,
-            0,
-            0,
-            null);
-    return new Job(new JobRecord.Live(spec, number, false), 1, 0, 0);
-  }
-
   @Test
   void roundsWaitForReportsButNotForEver() {
     start.takenOver();
@@ -64,7 +38,7 @@
   void jobsDoubleEachRoundAndTheMostUrgentAreFirst() {
     List<Job> waiting = new ArrayList<>();
     for (int i = 0; i < 60; i++) {
-      waiting.add(job(i, i < 50 ? Urgency.STANDARD : Urgency.URGENT));
+      waiting.add(TestJobs.job(i, i < 50 ? Urgency.STANDARD : Urgency.URGENT));
     }
     List<Integer> sizes = new ArrayList<>();
     assertThat(start.next(waiting)).allMatch(j -> j.spec.urgency() == Urgency.URGENT);
--- a/src/test/java/dev/windbend/shard/NodeLeaseTest.java
+++ b/src/test/java/dev/windbend/shard/NodeLeaseTest.java
@@ -3,12 +3,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import dev.windbend.daemon.io.ManualLoop;
+import dev.windbend.daemon.io.ManualWeb;
 import dev.windbend.daemon.io.Web;
 import dev.windbend.store.StoreClient;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 
 class NodeLeaseTest {
@@ -16,26 +14,14 @@
   private static final long RENEWAL_MS = TERM_MS / 4;
 
   private final ManualLoop loop = new ManualLoop(100_000);
-  private final List<String> asked = new ArrayList<>();
-  private final List<Consumer<Web.Reply>> unanswered = new ArrayList<>();
+  private final ManualWeb web = new ManualWeb();
   private int ended;
 
-  private final StoreClient store = new StoreClient(loop, this::hold, "state:1", 1_000, 100, 8, 1);
+  private final StoreClient store = new StoreClient(loop, web, "state:1", 1_000, 100, 8, 1);
   private final NodeLease lease = new NodeLease(loop, store, TERM_MS, () -> ended++);
 
-  private void hold(
-      String address,
-      String method,
-      String path,
-      byte[] body,
-      long limitMs,
-      Consumer<Web.Reply> done) {
-    asked.add(path);
-    unanswered.add(done);
-  }
-
   private void answer(int call, int status, String body) {
-    unanswered.get(call).accept(new Web.Reply(status, body.getBytes(StandardCharsets.UTF_8)));
+    web.calls.get(call).accept(new Web.Reply(status, body.getBytes(StandardCharsets.UTF_8)));
   }
 
   private void grant(int call, int id) {
@@ -58,7 +44,7 @@
     for (int i = 0; i < 3; i++) {
       pass(RENEWAL_MS);
     }
-    assertThat(asked)
+    assertThat(web.paths)
         .containsExactly("/holds", "/holds/7/renew", "/holds/7/renew", "/holds/7/renew");
   }
 
@@ -102,6 +88,6 @@
     answer(1, 503, "{}");
     assertThat(loop.waiting).as("one timer only").hasSize(1);
     pass(300);
-    assertThat(asked).containsExactly("/holds", "/holds/7/renew", "/holds/7/renew");
+    assertThat(web.paths).containsExactly("/holds", "/holds/7/renew", "/holds/7/renew");
   }
 }
--- a/src/test/java/dev/windbend/worker/DirectStopClientTest.java
+++ b/src/test/java/dev/windbend/worker/DirectStopClientTest.java
@@ -3,12 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import dev.windbend.daemon.io.ManualLoop;
+import dev.windbend.daemon.io.ManualWeb;
 import dev.windbend.daemon.io.Web;
-import java.util.ArrayDeque;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
-import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 
 class DirectStopClientTest {
@@ -16,19 +13,14 @@
   private static final int MOST_AT_ONCE = 12;
 
   private final ManualLoop loop = new ManualLoop(1_000);
-  private final Set<String> told = new HashSet<>();
-  private final ArrayDeque<Consumer<Web.Reply>> unanswered = new ArrayDeque<>();
-  private final DirectStopClient client = new DirectStopClient(loop, this::call, 3);
-
-  private void call(
-      String address,
-      String method,
-      String path,
-      byte[] body,
-      long limitMs,
-      Consumer<Web.Reply> done) {
-    told.add(address);
-    unanswered.add(done);
+  private final ManualWeb web = new ManualWeb();
+  private final DirectStopClient client = new DirectStopClient(loop, web, 3);
+
+  /** Answers all calls, and those that follow. */
+  private void answerAll(Web.Reply reply) {
+    for (int call = 0; call < web.calls.size(); call++) {
+      web.calls.get(call).accept(reply);
+    }
   }
 
   private void cancelHugeArray() {
@@ -42,20 +34,16 @@
   @Test
   void everyMachineOfALargeFleetIsTold() {
     cancelHugeArray();
-    assertThat(told).as("few at once").hasSize(MOST_AT_ONCE);
-    while (!unanswered.isEmpty()) {
-      unanswered.poll().accept(new Web.Reply(200, new byte[0]));
-    }
-    assertThat(told).hasSize(FLEET);
+    assertThat(web.addresses).as("few at once").hasSize(MOST_AT_ONCE);
+    answerAll(new Web.Reply(200, new byte[0]));
+    assertThat(web.addresses).doesNotHaveDuplicates().hasSize(FLEET);
   }
 
   @Test
   void whatHasWaitedForAReportIntervalIsLeftToTheNextAnswer() {
     cancelHugeArray();
     loop.nowMs += 3_000;
-    while (!unanswered.isEmpty()) {
-      unanswered.poll().accept(Web.Reply.NONE);
-    }
-    assertThat(told).hasSize(MOST_AT_ONCE);
+    answerAll(Web.Reply.NONE);
+    assertThat(web.addresses).hasSize(MOST_AT_ONCE);
   }
 }
--- a/src/test/java/dev/windbend/zone/ZoneMonitorTest.java
+++ b/src/test/java/dev/windbend/zone/ZoneMonitorTest.java
@@ -7,9 +7,8 @@
 import dev.windbend.daemon.io.ManualLoop;
 import dev.windbend.daemon.io.Web;
 import dev.windbend.job.Job;
-import dev.windbend.job.JobRecord;
 import dev.windbend.job.JobRegistry;
-import dev.windbend.job.JobSpec;
+import dev.windbend.job.TestJobs;
 import dev.windbend.job.Urgency;
 import dev.windbend.machine.CloudClient;
 import dev.windbend.machine.Fleet;
@@ -157,37 +156,12 @@
     done.accept(new Web.Reply(200, text.getBytes(StandardCharsets.UTF_8)));
   }
 
-  private static Job job(int number, Urgency urgency) {
-    JobSpec spec =
-        new JobSpec(
-            "wk-%06d".formatted(number),
-            "kind",
-            "team",
-            urgency,
-            1,
-            1,
-            0,
-            1,
-            "image",
-            1,
-            null,
-            null,
-            false,
-            false,
-            true,
-            60,
-            0,
-            0,
-            null);
-    return new Job(new JobRecord.Live(spec, number, false), 1, 0, 0);
-  }
-
   /** One task on each machine of the zone, that has run for so long. */
   private void busy(int zone, long ranMs) {
     int number = 0;
     for (Machine m : fleet.machines()) {
       if (m.zone == zone) {
-        Job job = job(number, URGENCIES.get(number++ % URGENCIES.size()));
+        Job job = TestJobs.job(number, URGENCIES.get(number++ % URGENCIES.size()));
         var placement = job.place(0, m.name, loop.nowMs, 7, 1);
         placement.seen = true;
         placement.runningMs = loop.nowMs - ranMs;
