Zones: without an elsewhere none is closed; machines that boot in a returning zone are waited for

With less than two zones watched, a zone that its record calls unreachable stayed closed and its silent machines were never given back (ZoneMonitorTest now has the case). In a returning zone booting machines were not counted as coming, so rounds rented more, as fast as the return's bucket let them; no test of its own.

--- a/src/main/java/dev/windbend/shard/SchedulingLoop.java
+++ b/src/main/java/dev/windbend/shard/SchedulingLoop.java
@@ -179,7 +179,9 @@
   private List<Machine> machinesToPlanOn(long now) {
     List<Machine> rooms = new ArrayList<>();
     for (Machine m : fleet.machines()) {
-      if (!m.returning && !m.draining && !m.zoneClosed && m.unheard == 0 && now >= m.fullUntilMs) {
+      // One that boots in a zone that is taken back is waited for, and rented only once.
+      boolean open = !m.zoneClosed || (m.seenMs < 0 && !zones.evacuates(m.zone));
+      if (open && !m.returning && !m.draining && m.unheard == 0 && now >= m.fullUntilMs) {
         rooms.add(m);
       }
     }
--- a/src/main/java/dev/windbend/zone/ZoneMonitor.java
+++ b/src/main/java/dev/windbend/zone/ZoneMonitor.java
@@ -36,6 +36,8 @@
   /** A controller that hears its own zone alone can't tell that so many others are lost. */
   private static final int OTHERS_LOST = 2;
 
+  private static final int FEWEST_ZONES = 2;
+
   private static final double MS = 1_000;
 
   private final Place place;
@@ -103,7 +105,11 @@
     this.recordedMs = loop.nowMs();
   }
 
-  /** Goes on where a former owner ended. Zones are known only by their machines and records. */
+  /**
+   * Goes on where a former owner ended. With less than two zones to look after there is no
+   * elsewhere: then no zone is closed, whatever its record says, and machines are judged one by
+   * one.
+   */
   public void takeOver(Names zoneNames) {
     long now = loop.nowMs();
     for (int index = 0; index < zoneNames.size(); index++) {
@@ -112,6 +118,9 @@
         zones.put(index, restored(index, name, now));
       }
     }
+    if (zones.size() < FEWEST_ZONES) {
+      zones.clear();
+    }
   }
 
   private Zone restored(int index, String name, long now) {
@@ -133,8 +142,8 @@
    * @param sureSinceMs since when this owner has been able to hear and answer
    */
   public void look(long now, long sureSinceMs) {
-    if (zones.size() < 2) {
-      return; // with one zone alone there is no elsewhere
+    if (zones.isEmpty()) {
+      return;
     }
     Map<Integer, List<Machine>> machines = machinesByZone();
     weighEvidence(machines, now, sureSinceMs);
@@ -297,7 +306,7 @@
   @Override
   public int rentable(int zone) {
     Zone asked = zones.get(zone);
-    if (asked == null || zones.size() < 2) {
+    if (asked == null) {
       return Integer.MAX_VALUE;
     }
     return switch (asked.state()) {
--- a/src/test/java/dev/windbend/zone/ZoneMonitorTest.java
+++ b/src/test/java/dev/windbend/zone/ZoneMonitorTest.java
@@ -118,10 +118,14 @@
   }
 
   private ZoneMonitor monitor() {
+    return monitor(POLICY);
+  }
+
+  private ZoneMonitor monitor(ZonePolicy policy) {
     ZoneMonitor made =
         new ZoneMonitor(
             new ZoneMonitor.Place(0, 2, "a", REPORT_S, LEASE_S),
-            POLICY,
+            policy,
             loop,
             fleet,
             health,
@@ -268,6 +272,19 @@
     assertThat(b.returnInS()).isEqualTo(returnInS);
   }
 
+  /** One zone alone is watched: its former record keeps no silent machine from being given back. */
+  @Test
+  void withoutAnElsewhereARecordClosesNothing() {
+    JsonNode lost = Json.tree(new ZoneRecord(ZoneState.UNREACHABLE, 999_000, 1, null));
+    stored.put(ZoneRecord.key(0, "b"), new VersionedValue(lost, 5));
+    monitor =
+        monitor(
+            new ZonePolicy(true, List.of("b"), 3_000, 2_000, 10_000, 80_000, 100_000, 1, 5_000));
+    assertThat(monitor.evacuates(1)).isFalse();
+    assertThat(monitor.rentable(1)).isEqualTo(Integer.MAX_VALUE);
+    assertThat(monitor.status()).isEmpty();
+  }
+
   /** A controller that hears nobody, as one that is cut off itself, judges nobody. */
   @Test
   void whoHearsNobodyJudgesNobody() {
