Planner: why tasks were left waiting, as a typed trace, logged at debug

Cause: a decision doesn't tell why a task waits, so the hypotheses on the listed inversion (EvacuationPlanTest.noLowerTaskIsPlacedWhereAHigherOneThatFitsWaits: reservation, exhaustion, cost, order, giving up, quota) could not be told apart.

Change: Planner.plan takes a DecisionTrace on request; DecisionTrace.NONE, the default, records nothing. SchedulingLoop logs it at debug.

--- a/src/main/java/dev/windbend/plan/BinPacking.java
+++ b/src/main/java/dev/windbend/plan/BinPacking.java
@@ -38,6 +38,7 @@
       if (candidate.atMs() == Candidate.NOW) {
         fill(cursor, keep, candidate.machine());
       } else if (cursor.left() > keep && cursor.mayUse(candidate.machine())) {
+        state.trace().met(cursor, DecisionTrace.Obstacle.MACHINE_WITH_IMAGE_PREFERRED);
         state.reserve(cursor, candidate.machine(), candidate.atMs());
       }
       if (cursor.left() <= keep) {
@@ -51,6 +52,7 @@
       JobCursor cursor,
       MachineReservations machine,
       double maxExtensionCost) {
+    traceReservedAhead(cursor, machine);
     PendingJob.Requirements task = cursor.job().requirements();
     long fetchMs = machine.fetchMs(task);
     boolean startByAhead = state.nowMs() < cursor.job().objectives().startByMs();
@@ -58,6 +60,8 @@
         && machine.fitsNow(task.estimateMs() + fetchMs, task.resources())) {
       if (extensionCost(task, machine) <= maxExtensionCost) {
         candidates.add(Candidate.now(machine, score.startingNow(machine, fetchMs)));
+      } else {
+        state.trace().met(cursor, DecisionTrace.Obstacle.EXTENSION_COST);
       }
     } else if (startByAhead && fetchMs == 0) {
       long freeMs = machine.firstFitMs(task.estimateMs(), task.resources());
@@ -70,12 +74,28 @@
 
   private void fill(JobCursor cursor, int keep, MachineReservations machine) {
     PendingJob.Requirements task = cursor.job().requirements();
-    long runMs = task.estimateMs() + machine.fetchMs(task);
+    long runMs = runMs(cursor, machine);
     while (cursor.left() > keep
         && cursor.mayUse(machine)
         && machine.fitsNow(runMs, task.resources())) {
       state.place(cursor, machine);
     }
+    if (cursor.left() > keep) {
+      traceReservedAhead(cursor, machine);
+    }
+  }
+
+  private void traceReservedAhead(JobCursor cursor, MachineReservations machine) {
+    PendingJob.Requirements task = cursor.job().requirements();
+    if (state.trace().enabled()
+        && machine.freeNow().fits(task.resources())
+        && !machine.fitsNow(runMs(cursor, machine), task.resources())) {
+      state.trace().met(cursor, DecisionTrace.Obstacle.RESERVED_AHEAD);
+    }
+  }
+
+  private static long runMs(JobCursor cursor, MachineReservations machine) {
+    return cursor.estimateMs() + machine.fetchMs(cursor.job().requirements());
   }
 
   /** Running past the paid block extends it. That must not cost more than a new machine would. */
--- a/src/main/java/dev/windbend/plan/CycleState.java
+++ b/src/main/java/dev/windbend/plan/CycleState.java
@@ -12,11 +12,13 @@
   private final List<SchedulingDecision.Place> placements = new ArrayList<>();
   private final List<SchedulingDecision.Preempt> preemptions = new ArrayList<>();
   private final ExhaustedSizes exhausted = new ExhaustedSizes();
+  private final DecisionTrace trace;
   private double lackingCores;
   private int machinesExamined;
 
-  CycleState(Snapshot snapshot) {
+  CycleState(Snapshot snapshot, DecisionTrace trace) {
     this.snapshot = snapshot;
+    this.trace = trace;
     this.machines = new ArrayList<>(snapshot.machines().size());
     this.usedCores = snapshot.teams().stream().mapToDouble(Snapshot.Team::usedCores).toArray();
     this.usedGpus = snapshot.teams().stream().mapToDouble(Snapshot.Team::usedGpus).toArray();
@@ -38,6 +40,10 @@
     return machines;
   }
 
+  DecisionTrace trace() {
+    return trace;
+  }
+
   ExhaustedSizes exhausted() {
     return exhausted;
   }
--- a/src/main/java/dev/windbend/plan/Planner.java
+++ b/src/main/java/dev/windbend/plan/Planner.java
@@ -22,9 +22,9 @@
   private final Preemption preemption;
   private final ScaleOut scaleOut;
 
-  private Planner(Snapshot snapshot) {
+  private Planner(Snapshot snapshot, DecisionTrace trace) {
     this.snapshot = snapshot;
-    this.state = new CycleState(snapshot);
+    this.state = new CycleState(snapshot, trace);
     this.binPacking = new BinPacking(state);
     this.soonFree = new SoonFreeMachines(state);
     this.preemption = new Preemption(state);
@@ -33,7 +33,12 @@
 
   /** Decides what a cycle does; the same for the same snapshot. */
   public static SchedulingDecision plan(Snapshot snapshot) {
-    return new Planner(snapshot).run();
+    return plan(snapshot, DecisionTrace.NONE);
+  }
+
+  /** The same, and records why tasks were left waiting. */
+  public static SchedulingDecision plan(Snapshot snapshot, DecisionTrace trace) {
+    return new Planner(snapshot, trace).run();
   }
 
   private SchedulingDecision run() {
@@ -99,6 +104,9 @@
     PendingJob job = cursor.job();
     int wanted = Math.min(Math.min(cursor.left(), maxTasks), state.tasksWithinQuota(job));
     int keep = cursor.left() - wanted;
+    if (wanted < Math.min(cursor.left(), maxTasks)) {
+      state.trace().met(cursor, DecisionTrace.Obstacle.QUOTA);
+    }
     binPacking.place(cursor, keep, scaleOut.costOfNewMachine(job));
     if (cursor.left() > keep && preemption.possibleFor(job)) {
       soonFree.reserve(cursor, keep, patienceEndsMs(job), false);
@@ -110,11 +118,13 @@
     long bootMs = scaleOut.bootMs(job);
     boolean prompt = job.objectives().guaranteed() || JobOrder.mustBegin(job);
     if (slackAllowsWaiting(job, bootMs) && !prompt) {
+      state.trace().expects(cursor, DecisionTrace.Outlook.POSTPONED);
       return;
     }
     soonFree.reserve(cursor, keep, snapshot.nowMs() + bootMs, !prompt);
     scaleOut.request(cursor, keep);
     if (cursor.left() > keep) {
+      state.trace().expects(cursor, DecisionTrace.Outlook.NOTHING_IN_TIME);
       state.lacks((cursor.left() - keep) * cursor.resources().cores());
       cursor.giveUpDownTo(keep);
     }
--- a/src/main/java/dev/windbend/plan/Preemption.java
+++ b/src/main/java/dev/windbend/plan/Preemption.java
@@ -46,7 +46,7 @@
     PriorityQueue<Candidate> candidates = new PriorityQueue<>(Candidate.BEST_FIRST);
     for (MachineReservations machine : state.machines()) {
       if (cursor.left() > keep && machine.up() && cursor.mayUse(machine)) {
-        addCandidate(candidates, cursor.job(), machine);
+        addCandidate(candidates, cursor, machine);
       }
     }
     while (cursor.left() > keep && !candidates.isEmpty()) {
@@ -58,15 +58,16 @@
         }
         state.exhausted().clear();
         state.place(cursor, machine);
-        addCandidate(candidates, cursor.job(), machine);
+        addCandidate(candidates, cursor, machine);
       }
     }
   }
 
   /** Chooses the tasks of which the least work is lost, as few as make enough capacity. */
   private void addCandidate(
-      PriorityQueue<Candidate> candidates, PendingJob job, MachineReservations machine) {
+      PriorityQueue<Candidate> candidates, JobCursor cursor, MachineReservations machine) {
     state.examined(1);
+    PendingJob job = cursor.job();
     List<RunningTask> running = machine.capacity().running();
     List<Integer> preemptible = preemptible(job, machine);
     if (preemptible.isEmpty()) {
@@ -88,6 +89,8 @@
     double gainedWork = need.cores() * job.requirements().estimateMs();
     if (free.fits(need) && lostWork < gainedWork) {
       candidates.add(Candidate.preempting(machine, lostWork, victims));
+    } else if (free.fits(need)) {
+      state.trace().met(cursor, DecisionTrace.Obstacle.PREEMPTION_LOSS);
     }
   }
 
--- a/src/main/java/dev/windbend/plan/ScaleOut.java
+++ b/src/main/java/dev/windbend/plan/ScaleOut.java
@@ -85,6 +85,7 @@
       for (int places = offer.capacity().timesFits(cursor.resources());
           places > 0 && cursor.left() > keep && cursor.mayUse(machine);
           places--) {
+        state.trace().expects(cursor, DecisionTrace.Outlook.NEW_MACHINE);
         state.reserve(cursor, machine, readyMs);
         state.lacks(cursor.resources().cores());
       }
--- a/src/main/java/dev/windbend/plan/SoonFreeMachines.java
+++ b/src/main/java/dev/windbend/plan/SoonFreeMachines.java
@@ -58,6 +58,7 @@
         if (!machine.up()) {
           state.lacks(cursor.resources().cores());
         }
+        state.trace().expects(cursor, DecisionTrace.Outlook.SOON_FREE_MACHINE);
         state.reserve(cursor, machine, candidate.atMs());
         addCandidate(candidates, cursor.job(), machine, byMs, orInTime);
       }
--- a/src/main/java/dev/windbend/shard/SchedulingLoop.java
+++ b/src/main/java/dev/windbend/shard/SchedulingLoop.java
@@ -3,9 +3,11 @@
 import dev.windbend.job.Job;
 import dev.windbend.job.Placement;
 import dev.windbend.machine.Machine;
+import dev.windbend.plan.DecisionTrace;
 import dev.windbend.plan.InstanceOffer;
 import dev.windbend.plan.Planner;
 import dev.windbend.plan.SchedulingDecision;
+import dev.windbend.plan.Snapshot;
 import dev.windbend.runtime.EventLoop;
 import dev.windbend.worker.HeartbeatHandler;
 import java.util.ArrayList;
@@ -134,8 +136,10 @@
     List<InstanceOffer> offers = capacity.offers();
     List<List<Placement>> running = new ArrayList<>();
     boolean oldestFirst = cycles % OLDEST_FIRST_EVERY == 0;
-    SchedulingDecision decision =
-        Planner.plan(snapshots.build(nowMs, oldestFirst, jobs, machines, offers, running));
+    Snapshot snapshot = snapshots.build(nowMs, oldestFirst, jobs, machines, offers, running);
+    DecisionTrace trace = LOG.isDebugEnabled() ? DecisionTrace.recording() : DecisionTrace.NONE;
+    SchedulingDecision decision = Planner.plan(snapshot, trace);
+    logLeftWaiting(trace.leftWaiting(snapshot, decision), jobs);
     preempt(decision, running);
     place(decision, nowMs, jobs, machines);
     // Machines that look idle may be needed by jobs that this cycle left out.
@@ -150,6 +154,17 @@
     }
   }
 
+  private void logLeftWaiting(List<DecisionTrace.LeftWaiting> leftWaiting, List<Job> jobs) {
+    for (DecisionTrace.LeftWaiting waiting : leftWaiting) {
+      LOG.debug(
+          "tasks left waiting: shard={} job={} obstacles={} outlooks={}",
+          state.shard(),
+          jobs.get(waiting.job()).spec().uid(),
+          waiting.obstacles(),
+          waiting.outlooks());
+    }
+  }
+
   private List<Job> waitingJobs() {
     List<Job> waiting = new ArrayList<>();
     for (Job job : state.jobs().all()) {
--- a/src/test/java/dev/windbend/plan/PlannerFixture.java
+++ b/src/test/java/dev/windbend/plan/PlannerFixture.java
@@ -21,16 +21,19 @@
   long hearsMs;
 
   SchedulingDecision plan() {
-    return Planner.plan(
-        new Snapshot(
-            NOW,
-            new Snapshot.Limits(10_000, 3_000, 20),
-            oldestFirst,
-            reserve,
-            List.of(new Team(limit, 0, used, 0)),
-            jobs,
-            machines,
-            offers));
+    return Planner.plan(snapshot());
+  }
+
+  Snapshot snapshot() {
+    return new Snapshot(
+        NOW,
+        new Snapshot.Limits(10_000, 3_000, 20),
+        oldestFirst,
+        reserve,
+        List.of(new Team(limit, 0, used, 0)),
+        jobs,
+        machines,
+        offers);
   }
 
   /** A job with what most cases leave alone. */
@@ -94,6 +97,10 @@
   }
 
   void machine(int zone, boolean spot, double free, RunningTask... running) {
+    machinePaidFor(600, zone, spot, free, running);
+  }
+
+  void machinePaidFor(long paidS, int zone, boolean spot, double free, RunningTask... running) {
     machines.add(
         new MachineCapacity(
             kind(zone, spot),
@@ -101,7 +108,7 @@
             hearsMs,
             0,
             new Resources(free, 0, 32),
-            new MachineCapacity.Lifetime(running.length == 0 && free == 8, NOW + 600_000, NOW),
+            new MachineCapacity.Lifetime(running.length == 0 && free == 8, NOW + 1000 * paidS, NOW),
             new IntOpenHashSet(new int[] {7}),
             List.of(running)));
   }
