Planner: nothing is preempted for a lower displaced task where a higher one that fits waits

What callers would see: after a zone's loss (part zone on) a running task is stopped and a displaced task of lower priority starts in its place, while a displaced one of higher priority and no greater size waits.

Cause: preemption is refused where more work is lost than gained; a short higher task gains less than a long lower one, so the victim refused to the former was given to the latter.

Evidence: the case in DisplacedPrecedenceTest, with PREEMPTION_LOSS in the trace.

Change: Preemption asks DisplacedPrecedence like BinPacking. It works as the higher job is served before and known to wait. Work that isn't displaced is weighed as before: that is the design's rule.

Test: noLowerTaskPreemptsForItselfWhereAHigherOneWaits failed before in both rows.

--- a/src/main/java/dev/windbend/plan/Preemption.java
+++ b/src/main/java/dev/windbend/plan/Preemption.java
@@ -45,7 +45,7 @@
   void place(JobCursor cursor, int keep) {
     PriorityQueue<Candidate> candidates = new PriorityQueue<>(Candidate.BEST_FIRST);
     for (MachineReservations machine : state.machines()) {
-      if (cursor.left() > keep && machine.up() && cursor.mayUse(machine)) {
+      if (cursor.left() > keep && state.mayStart(cursor, machine)) {
         addCandidate(candidates, cursor, machine);
       }
     }
--- a/src/test/java/dev/windbend/plan/DisplacedPrecedenceTest.java
+++ b/src/test/java/dev/windbend/plan/DisplacedPrecedenceTest.java
@@ -127,4 +127,17 @@
         });
     assertThat(placedJobs()).containsExactly(2);
   }
+
+  /** Preemption: the higher task would lose more work than it gains, the longer lower one not. */
+  @ParameterizedTest(name = "higher {0} cores: {1} preempted")
+  @CsvSource({"8, 0", "4, 0"})
+  void noLowerTaskPreemptsForItselfWhereAHigherOneWaits(int cores, int preempted) {
+    offers.clear();
+    machine(0, true, 0, running(8, 90, 3, 20));
+    displaced(1, cores, 1, 10_000, 10_000);
+    displaced(2, 8, 1, 60_000, 60_000);
+    SchedulingDecision decision = plan();
+    assertThat(decision.preemptions()).hasSize(preempted);
+    assertThat(decision.placements()).isEmpty();
+  }
 }
