Planner: a displaced task passes no free room over that a lower one would take

What callers would see: after a zone's loss (part zone on) a displaced task waits for a new machine, or for one with its image, while room into which it fits is free and a displaced task of lower priority starts there.

Cause: room is passed over for the cost of a longer paid block, or for a machine that has the image and is soon free; neither rule asks who takes the room.

Evidence: two cases in DisplacedPrecedenceTest; DecisionTrace names EXTENSION_COST and MACHINE_WITH_IMAGE_PREFERRED.

Change: a displaced job that is in time for a limit extends a paid block at any cost and takes free room without its image. Weighed: the dear machine's price for one run, or one fetch, against a wait of up to a boot. It works as the room is taken by the job served first, so none is left to the lower one.

Tests: noLowerTaskTakesAMachineThatIsTooDearForAHigherOne and noLowerTaskTakesAMachineThatAHigherOnePassesOverForItsImage failed before.

--- a/src/main/java/dev/windbend/plan/BinPacking.java
+++ b/src/main/java/dev/windbend/plan/BinPacking.java
@@ -55,7 +55,9 @@
     traceReservedAhead(cursor, machine);
     PendingJob.Requirements task = cursor.job().requirements();
     long fetchMs = machine.fetchMs(task);
-    boolean startByAhead = state.nowMs() < cursor.job().objectives().startByMs();
+    boolean mayPassOverFreeCapacity =
+        state.nowMs() < cursor.job().objectives().startByMs()
+            && !DisplacedPrecedence.appliesTo(cursor.job());
     if (machine.freeNow().fits(task.resources())
         && machine.fitsNow(task.estimateMs() + fetchMs, task.resources())) {
       if (extensionCost(task, machine) <= maxExtensionCost) {
@@ -63,7 +65,7 @@
       } else {
         state.trace().met(cursor, DecisionTrace.Obstacle.EXTENSION_COST);
       }
-    } else if (startByAhead && fetchMs == 0) {
+    } else if (mayPassOverFreeCapacity && fetchMs == 0) {
       long freeMs = machine.firstFitMs(task.estimateMs(), task.resources());
       long waitMs = freeMs - state.nowMs();
       if (waitMs < task.imageGb() * MS_PER_SECOND / machine.kind().fetchGbPerSecond()) {
--- a/src/main/java/dev/windbend/plan/Planner.java
+++ b/src/main/java/dev/windbend/plan/Planner.java
@@ -121,7 +121,7 @@
    */
   private void startOrReserve(JobCursor cursor, int keep) {
     PendingJob job = cursor.job();
-    binPacking.place(cursor, keep, scaleOut.costOfNewMachine(job));
+    binPacking.place(cursor, keep, maxExtensionCost(job));
     if (cursor.left() > keep && preemption.possibleFor(job)) {
       soonFree.reserve(cursor, keep, patienceEndsMs(job), false);
       preemption.place(cursor, keep);
@@ -144,6 +144,13 @@
     }
   }
 
+  /** A displaced job takes what is free now, so that no lower one does while it waits. */
+  private double maxExtensionCost(PendingJob job) {
+    return DisplacedPrecedence.appliesTo(job)
+        ? Double.POSITIVE_INFINITY
+        : scaleOut.costOfNewMachine(job);
+  }
+
   /**
    * Until when free capacity is waited for rather than preempted. What is free after the time to
    * start by is no help while that can still be kept.
--- a/src/test/java/dev/windbend/plan/DisplacedPrecedenceTest.java
+++ b/src/test/java/dev/windbend/plan/DisplacedPrecedenceTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import it.unimi.dsi.fastutil.ints.IntOpenHashSet;
 import java.util.EnumSet;
 import java.util.List;
 import java.util.stream.Stream;
@@ -128,6 +129,55 @@
     assertThat(placedJobs()).containsExactly(2);
   }
 
+  /** Cost: the longer paid block of a dear machine, or a new cheap one that has to boot. */
+  @ParameterizedTest(name = "hopeless {0}: placed {1}")
+  @CsvSource({"false, 0", "true, 1"})
+  void noLowerTaskTakesAMachineThatIsTooDearForAHigherOne(boolean hopeless, int placed) {
+    machinePaidFor(10, 0, false, 8);
+    job(
+        draft -> {
+          draft.rank = 1;
+          draft.resources = WHOLE;
+          draft.estimateMs = 60_000;
+          draft.dueMs = NOW + 95_000;
+          draft.displaced = true;
+          draft.hopeless = hopeless;
+        });
+    displaced(2, 8, 1, 10_000, 10_000);
+    assertThat(placedJobs()).containsExactly(placed);
+  }
+
+  /** Image: a machine that has it and is free soon, or one that is free now and fetches it. */
+  @Test
+  void noLowerTaskTakesAMachineThatAHigherOnePassesOverForItsImage() {
+    machine(0, true, 0, running(8, 2, 2, -1));
+    machine(0, true, 8);
+    machines.set(1, withoutImages(machines.get(1)));
+    job(
+        draft -> {
+          draft.rank = 1;
+          draft.resources = WHOLE;
+          draft.imageGb = 9;
+          draft.estimateMs = 10_000;
+          draft.startByMs = NOW + 5_000;
+          draft.displaced = true;
+        });
+    displaced(2, 8, 1, 20_000, 10_000);
+    assertThat(plan().placements()).containsExactly(new SchedulingDecision.Place(0, 1));
+  }
+
+  private static MachineCapacity withoutImages(MachineCapacity machine) {
+    return new MachineCapacity(
+        machine.kind(),
+        machine.up(),
+        machine.nextResponseMs(),
+        machine.readyMs(),
+        machine.free(),
+        machine.lifetime(),
+        new IntOpenHashSet(),
+        machine.running());
+  }
+
   /** Preemption: the higher task would lose more work than it gains, the longer lower one not. */
   @ParameterizedTest(name = "higher {0} cores: {1} preempted")
   @CsvSource({"8, 0", "4, 0"})
