--- /dev/null
+++ b/src/test/java/dev/windbend/plan/PriorityPropertiesTest.java
@@ -0,0 +1,204 @@
+package dev.windbend.plan;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import it.unimi.dsi.fastutil.ints.IntOpenHashSet;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+/** Priority over any mix of sizes, zones, kinds of machines, images, constraints and offers. */
+class PriorityPropertiesTest {
+  private static final long NOW = 1_000_000;
+  private static final int RANKS = 4;
+  private static final int MAX_JOBS = 12;
+  private static final int MAX_MACHINES = 8;
+  private static final long PLENTY = 100_000;
+
+  /** Draws a snapshot; small numbers, so that sizes and times meet often. */
+  private static final class Draw {
+    private final Random random;
+    private final boolean displaced;
+
+    Draw(long seed, boolean displaced) {
+      this.random = new Random(seed);
+      this.displaced = displaced;
+    }
+
+    Snapshot snapshot() {
+      List<PendingJob> jobs = new ArrayList<>();
+      for (int i = random.nextInt(MAX_JOBS); i >= 0; i--) {
+        jobs.add(job());
+      }
+      List<MachineCapacity> machines = new ArrayList<>();
+      for (int i = random.nextInt(MAX_MACHINES); i >= 0; i--) {
+        machines.add(machine());
+      }
+      List<InstanceOffer> offers = new ArrayList<>();
+      if (oneIn(2)) {
+        offers.add(new InstanceOffer(kind(), new Resources(8, 2, 64), 30_000));
+      }
+      return new Snapshot(
+          NOW,
+          new Snapshot.Limits(10_000, 3_000, random.nextInt(3)),
+          false,
+          0,
+          List.of(new Snapshot.Team(PLENTY, PLENTY, 0, 0)),
+          jobs,
+          machines,
+          offers);
+    }
+
+    private boolean oneIn(int n) {
+      return random.nextInt(n) == 0;
+    }
+
+    private PendingJob job() {
+      int waiting = 1 + random.nextInt(6);
+      Resources size =
+          new Resources(1 + random.nextInt(8), oneIn(4) ? 1 : 0, 1 + random.nextInt(24));
+      boolean[] types = oneIn(5) ? new boolean[] {oneIn(2), true} : null;
+      IntOpenHashSet avoided = new IntOpenHashSet();
+      if (oneIn(5)) {
+        avoided.add(random.nextInt(MAX_MACHINES));
+      }
+      long estimateMs = 1_000L * (1 + random.nextInt(20));
+      long startByMs = oneIn(3) ? NOW + 5_000 : 0;
+      return new PendingJob(
+          0,
+          random.nextInt(RANKS),
+          new PendingJob.Requirements(size, random.nextInt(3), 1 + random.nextInt(6), estimateMs),
+          new PendingJob.Constraints(
+              types, random.nextInt(6) - 4, oneIn(5), oneIn(5), !oneIn(4), 0, avoided),
+          new PendingJob.Progress(
+              waiting,
+              waiting,
+              new int[2],
+              1_000L * random.nextInt(100),
+              oneIn(2),
+              false,
+              displaced),
+          new PendingJob.Objectives(
+              NOW + 1_000L * random.nextInt(60), oneIn(5), oneIn(4), startByMs));
+    }
+
+    private InstanceKind kind() {
+      boolean spot = oneIn(2);
+      return new InstanceKind(random.nextInt(2), random.nextInt(2), spot, spot ? 1 : 2.5, 1);
+    }
+
+    private MachineCapacity machine() {
+      List<RunningTask> running = new ArrayList<>();
+      double free = 8;
+      while (free > 0 && !oneIn(3)) {
+        double cores = 1 + random.nextInt((int) free);
+        free -= cores;
+        long lostMs = oneIn(3) ? -1 : 1_000L * random.nextInt(30);
+        running.add(
+            new RunningTask(
+                NOW + 1_000L * random.nextInt(30),
+                new Resources(cores, 0, 1),
+                random.nextInt(RANKS),
+                lostMs));
+      }
+      IntOpenHashSet images = new IntOpenHashSet(new int[] {random.nextInt(3)});
+      return new MachineCapacity(
+          kind(),
+          !oneIn(5),
+          random.nextInt(3_000),
+          NOW + 1_000L * random.nextInt(40),
+          new Resources(free, random.nextInt(3), 64 - running.size()),
+          new MachineCapacity.Lifetime(running.isEmpty(), NOW + 1_000L * random.nextInt(60), NOW),
+          images,
+          running);
+    }
+  }
+
+  /** Guards against priority inversion as docs/zones.md defines it, whatever its cause. */
+  @Property(tries = 2_000)
+  void noDisplacedTaskIsPlacedInRoomThatAWaitingHigherOneFitsInto(@ForAll long seed) {
+    Snapshot snapshot = new Draw(seed, true).snapshot();
+    SchedulingDecision decision = Planner.plan(snapshot);
+    List<JobCursor> cursors = cursorsAfter(snapshot, decision);
+    for (SchedulingDecision.Place placed : decision.placements()) {
+      PendingJob lower = snapshot.jobs().get(placed.job());
+      MachineReservations machine =
+          new MachineReservations(snapshot.machines().get(placed.machine()), placed.machine(), NOW);
+      for (JobCursor higher : cursors) {
+        boolean inverted =
+            higher.left() > 0
+                && !higher.job().objectives().hopeless()
+                && higher.job().rank() < lower.rank()
+                && lower.requirements().resources().fits(higher.resources())
+                && higher.mayUse(machine);
+        assertThat(inverted).as("%s waits, %s is placed", higher.job(), lower).isFalse();
+      }
+    }
+  }
+
+  private static List<JobCursor> cursorsAfter(Snapshot snapshot, SchedulingDecision decision) {
+    List<JobCursor> cursors = new ArrayList<>();
+    for (int i = 0; i < snapshot.jobs().size(); i++) {
+      cursors.add(new JobCursor(snapshot.jobs().get(i), i));
+    }
+    for (SchedulingDecision.Place placed : decision.placements()) {
+      cursors
+          .get(placed.job())
+          .assigned(
+              new MachineReservations(
+                  snapshot.machines().get(placed.machine()), placed.machine(), NOW));
+    }
+    return cursors;
+  }
+
+  /** Guards against lower work in the way: what a job gets is the same without it. */
+  @Property(tries = 2_000)
+  void lowerWorkChangesNothingForHigherWork(@ForAll long seed, @ForAll boolean displaced) {
+    Snapshot snapshot = new Draw(seed, displaced).snapshot();
+    List<SchedulingDecision.Place> all = Planner.plan(snapshot).placements();
+    for (int lowest = 0; lowest < RANKS - 1; lowest++) {
+      int rank = lowest;
+      List<SchedulingDecision.Place> alone = Planner.plan(without(snapshot, rank)).placements();
+      assertThat(all)
+          .filteredOn(placed -> snapshot.jobs().get(placed.job()).rank() <= rank)
+          .containsExactlyElementsOf(alone);
+    }
+  }
+
+  /** The same snapshot, its jobs of a rank beyond this without a waiting task. */
+  private static Snapshot without(Snapshot snapshot, int lowestRank) {
+    List<PendingJob> jobs = new ArrayList<>();
+    for (PendingJob job : snapshot.jobs()) {
+      jobs.add(job.rank() <= lowestRank ? job : withoutWaiting(job));
+    }
+    return new Snapshot(
+        snapshot.nowMs(),
+        snapshot.limits(),
+        snapshot.oldestFirst(),
+        snapshot.reserveCores(),
+        snapshot.teams(),
+        jobs,
+        snapshot.machines(),
+        snapshot.offers());
+  }
+
+  private static PendingJob withoutWaiting(PendingJob job) {
+    PendingJob.Progress progress = job.progress();
+    return new PendingJob(
+        job.team(),
+        job.rank(),
+        job.requirements(),
+        job.constraints(),
+        new PendingJob.Progress(
+            progress.tasks(),
+            0,
+            progress.placedPerZone(),
+            progress.ageMs(),
+            progress.begun(),
+            progress.starved(),
+            progress.displaced()),
+        job.objectives());
+  }
+}
