Group commit: no more conditions than the state service allows

What callers saw: a shard that writes nothing any more while its leader stays: nothing starts, ends are not recorded, until the leader is restarted or other records come first.

Cause: a transaction may have 32 conditions. PagedStore kept its part, GroupCommitter added records without counting theirs; the service answers 400 and the same is sent again.

Change: GroupCommitter.fits counts conditions too (PendingWrite.conditionCount). It works as PagedStore stops at 28 by itself and whatever is added after it is now counted. The stand-in state service refuses transactions beyond the protocol's limits.

Test: GroupCommitterTest.aTransactionHasNoMoreConditionsThanTheStoreAllows failed before.

--- a/src/main/java/dev/windbend/job/JobLookup.java
+++ b/src/main/java/dev/windbend/job/JobLookup.java
@@ -24,9 +24,6 @@
 final class JobLookup {
   private static final int ENDED_KEPT = 20_000;
 
-  /** Conditions a transaction may have per change allowed. */
-  private static final int CONDITIONS = 4;
-
   private final EventLoop loop;
   private final StoreClient store;
   private final Replica replica;
@@ -60,7 +57,7 @@
     this.loop = loop;
     this.store = store;
     this.replica = replica;
-    this.most = Math.max(1, CONDITIONS * store.maxWritesPerTransaction() - 1);
+    this.most = Math.max(1, store.maxConditionsPerTransaction() - 1);
   }
 
   void find(String uid, Consumer<Found> done) {
--- a/src/main/java/dev/windbend/store/GroupCommitter.java
+++ b/src/main/java/dev/windbend/store/GroupCommitter.java
@@ -132,7 +132,9 @@
 
   private boolean fits(PendingWrite write, TransactionBuilder transaction) {
     return transaction.writeCount() == 0
-        || transaction.writeCount() + write.writeCount() <= store.maxWritesPerTransaction();
+        || (transaction.writeCount() + write.writeCount() <= store.maxWritesPerTransaction()
+            && transaction.conditionCount() + write.conditionCount()
+                <= store.maxConditionsPerTransaction());
   }
 
   private void onOutcome(List<PendingWrite> group, TransactionOutcome outcome) {
--- a/src/main/java/dev/windbend/store/PagedStore.java
+++ b/src/main/java/dev/windbend/store/PagedStore.java
@@ -28,9 +28,6 @@
   /** So few pages in use need no compaction. */
   private static final int MIN_PAGES_TO_COMPACT = 3;
 
-  /** A transaction may have this many conditions for each key that it may write. */
-  private static final int CONDITIONS_PER_WRITE = 4;
-
   private final String prefix;
   private final int pageBytes;
   private final int maxWrites;
@@ -61,7 +58,7 @@
     this.pageBytes = valueBytes - PAGE_OVERHEAD_BYTES;
     this.maxWrites = maxWrites;
     // The rest is for the pages themselves and the guard of the group commit.
-    this.maxConditions = CONDITIONS_PER_WRITE * maxWrites - MAX_PAGES_PER_WRITE - 1;
+    this.maxConditions = StoreClient.CONDITIONS_PER_WRITE * maxWrites - MAX_PAGES_PER_WRITE - 1;
     this.allocator = new PageAllocator(prefix);
   }
 
--- a/src/main/java/dev/windbend/store/PendingWrite.java
+++ b/src/main/java/dev/windbend/store/PendingWrite.java
@@ -15,6 +15,14 @@
   /** How many keys the next write changes. */
   int writeCount();
 
+  /**
+   * How many keys the next write compares at most, but for those that it adds only as far as the
+   * transaction has room for them.
+   */
+  default int conditionCount() {
+    return 1;
+  }
+
   /** Adds conditions and writes to the transaction, and remembers what is in flight. */
   void addTo(TransactionBuilder transaction);
 
--- a/src/main/java/dev/windbend/store/StoreClient.java
+++ b/src/main/java/dev/windbend/store/StoreClient.java
@@ -38,6 +38,9 @@
   /** Kinds of reads that go on and on; each may take an even part of the rate limit. */
   private static final double POLLING_KINDS = 4.0;
 
+  /** A transaction may have this many conditions for each key that it may write. */
+  static final int CONDITIONS_PER_WRITE = 4;
+
   private static final long MIN_POLL_INTERVAL_MS = 50;
   private static final double MS_PER_SECOND = 1_000;
 
@@ -88,6 +91,11 @@
     return maxWritesPerTransaction;
   }
 
+  /** How many keys a transaction may compare. */
+  public int maxConditionsPerTransaction() {
+    return CONDITIONS_PER_WRITE * maxWritesPerTransaction;
+  }
+
   /** For how long no call has been answered, in milliseconds; 0 if the last one was. */
   public long failingForMs() {
     return outages.failingForMs();
--- a/src/test/java/dev/windbend/daemon/FakeStateService.java
+++ b/src/test/java/dev/windbend/daemon/FakeStateService.java
@@ -19,6 +19,10 @@
 final class FakeStateService {
   static final ObjectMapper JSON = new ObjectMapper();
 
+  private static final int TXN_OPS = 8;
+  private static final int CONDITIONS_PER_OP = 4;
+  private static final int VALUE_BYTES = 4_096;
+
   private record Value(JsonNode v, long stamp, long permit) {}
 
   private record Change(String key, JsonNode v, long stamp) {}
@@ -189,7 +193,22 @@
     return new ClientResponse(400, "{}".getBytes(StandardCharsets.UTF_8));
   }
 
+  /** The protocol's limits on a transaction, as the simulated deployments set them. */
+  private static boolean tooLarge(JsonNode transaction) {
+    for (JsonNode change : transaction.path("then")) {
+      if (change.path("v").toString().length() > VALUE_BYTES) {
+        return true;
+      }
+    }
+    return transaction.path("then").size() > TXN_OPS
+        || transaction.path("when").size() > CONDITIONS_PER_OP * TXN_OPS;
+  }
+
   private ClientResponse txn(JsonNode t) {
+    if (tooLarge(t)) {
+      return new ClientResponse(
+          400, "{\"error\":\"too many operations\"}".getBytes(StandardCharsets.UTF_8));
+    }
     ObjectNode out = JSON.createObjectNode();
     ArrayNode failed = JSON.createArrayNode();
     for (JsonNode c : t.path("when")) {
--- /dev/null
+++ b/src/test/java/dev/windbend/store/GroupCommitterTest.java
@@ -0,0 +1,180 @@
+package dev.windbend.store;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import dev.windbend.runtime.ClientResponse;
+import dev.windbend.runtime.Json;
+import dev.windbend.runtime.ManualEventLoop;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+
+/** What a shard's leader commits together, and in which order. */
+class GroupCommitterTest {
+  private static final int MAX_WRITES = 8;
+  private static final int MAX_CONDITIONS = 4 * MAX_WRITES;
+  private static final long PAUSE_MS = 200;
+
+  private final ManualEventLoop loop = new ManualEventLoop(100_000);
+  private final List<JsonNode> sent = new ArrayList<>();
+  private final StoreClient store =
+      new StoreClient(loop, this::answer, "state:1", 1_000, 1_000, MAX_WRITES, 1);
+  private final GroupCommitter committer =
+      new GroupCommitter(loop, store, "w/c/0", 7, PAUSE_MS, () -> {}, () -> {});
+  private final PagedStore pages = new PagedStore("w/p/0/", 4_096, MAX_WRITES);
+  private long revision = 10;
+
+  /** A state service that refuses what the protocol's limits on a transaction forbid. */
+  private void answer(
+      String address,
+      String method,
+      String path,
+      byte[] body,
+      long timeoutMs,
+      Consumer<ClientResponse> done) {
+    JsonNode transaction = Json.read(body, JsonNode.class);
+    sent.add(transaction);
+    boolean tooLarge =
+        transaction.path("when").size() > MAX_CONDITIONS
+            || transaction.path("then").size() > MAX_WRITES;
+    String reply = "{\"ledger\":" + ++revision + "}";
+    done.accept(
+        tooLarge
+            ? new ClientResponse(400, "{}".getBytes(StandardCharsets.UTF_8))
+            : new ClientResponse(200, reply.getBytes(StandardCharsets.UTF_8)));
+  }
+
+  /** A placement of a job: goes with a page, on condition of the job's record. */
+  private static final class Placement implements PageEntry {
+    private final String job;
+    private boolean inFlight;
+    private boolean written;
+
+    private Placement(String job) {
+      this.job = job;
+    }
+
+    @Override
+    public String id() {
+      return job + ":0";
+    }
+
+    @Override
+    public boolean dirty() {
+      return !inFlight && !written;
+    }
+
+    @Override
+    public boolean urgent(long nowMs) {
+      return true;
+    }
+
+    @Override
+    public boolean obsolete() {
+      return false;
+    }
+
+    @Override
+    public Object snapshot() {
+      return "on host-000001";
+    }
+
+    @Override
+    public void beginWrite(TransactionBuilder transaction) {
+      inFlight = true;
+      transaction.ifVersion("w/j/" + job, 1);
+    }
+
+    @Override
+    public void onApplied() {
+      inFlight = false;
+      written = true;
+    }
+
+    @Override
+    public void onNotApplied() {
+      inFlight = false;
+    }
+
+    @Override
+    public boolean dependsOn(String key) {
+      return false;
+    }
+
+    @Override
+    public void onConflict(VersionedValue stored) {}
+  }
+
+  /** A record of its own key, such as that of a scale-out. */
+  private static final class ScaleOut extends RecordWrite {
+    private boolean written;
+
+    private ScaleOut(String name) {
+      super("w/h/0/" + name);
+    }
+
+    @Override
+    protected boolean changed() {
+      return !written;
+    }
+
+    @Override
+    protected void addChange(TransactionBuilder transaction) {
+      transaction.ifAbsent(key).put(key, "two machines");
+    }
+
+    @Override
+    protected void applied(long revision) {
+      written = true;
+    }
+
+    @Override
+    public void onConflict(String key, VersionedValue stored) {}
+  }
+
+  private List<Placement> enqueuePlacements(int count) {
+    List<Placement> placements = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      Placement placement = new Placement("placed-" + i);
+      placements.add(placement);
+      pages.markChanged(placement);
+    }
+    committer.enqueue(pages);
+    return placements;
+  }
+
+  private List<ScaleOut> enqueueScaleOuts(int count) {
+    List<ScaleOut> scaleOuts = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      ScaleOut scaleOut = new ScaleOut("p0-" + i);
+      scaleOuts.add(scaleOut);
+      committer.enqueue(scaleOut);
+    }
+    return scaleOuts;
+  }
+
+  private void commitFor(long ms) {
+    for (long passed = 0; passed <= ms; passed += PAUSE_MS) {
+      loop.fire();
+      committer.commitDue();
+      loop.nowMs += PAUSE_MS;
+    }
+  }
+
+  /** Guards against a leader whose transaction the store refuses as too large, again and again. */
+  @Test
+  void aTransactionHasNoMoreConditionsThanTheStoreAllows() {
+    List<Placement> placements = enqueuePlacements(100);
+    List<ScaleOut> scaleOuts = enqueueScaleOuts(20);
+    commitFor(60_000);
+    assertThat(sent)
+        .allSatisfy(
+            transaction ->
+                assertThat(transaction.path("when").size()).isLessThanOrEqualTo(MAX_CONDITIONS));
+    assertThat(placements).allMatch(placement -> placement.written);
+    assertThat(scaleOuts).allMatch(scaleOut -> scaleOut.written);
+  }
+}
