Planner: a large task is reserved room while the cloud refuses every kind of machine

What callers would see: while the cloud refuses all kinds, a task that needs a large part of a machine waits without end beside a stream of smaller ones of its rank; the largest jobs have to begin within four minutes.

Cause: a job queues behind machines that are free within a boot; the boot was taken from the kinds on offer, which refused ones are not, so it was 0 and nothing was reserved.

It works as the reservation makes small tasks leave what the large one waits for.

--- a/src/main/java/dev/windbend/plan/ScaleOut.java
+++ b/src/main/java/dev/windbend/plan/ScaleOut.java
@@ -55,7 +55,8 @@
     PendingJob.Requirements task = job.requirements();
     double least = Double.POSITIVE_INFINITY;
     for (InstanceOffer offer : offers) {
-      if (job.constraints().allows(offer.kind())
+      if (offer.available()
+          && job.constraints().allows(offer.kind())
           && offer.capacity().fits(task.resources())
           && state.nowMs() + offer.bootMs() + task.estimateMs() <= job.objectives().dueMs()) {
         double cost = offer.kind().pricePerHour() * (task.estimateMs() + offer.bootMs());
@@ -100,7 +101,8 @@
     int cheapest = NO_OFFER;
     for (int i = 0; i < offers.size(); i++) {
       InstanceOffer offer = offers.get(i);
-      if (offer.capacity().fits(cursor.resources())
+      if (offer.available()
+          && offer.capacity().fits(cursor.resources())
           && cursor.mayUse(offer.kind())
           && (cheapest == NO_OFFER || better(offer.kind(), offers.get(cheapest).kind()))) {
         cheapest = i;
--- a/src/main/java/dev/windbend/shard/CapacityProvisioner.java
+++ b/src/main/java/dev/windbend/shard/CapacityProvisioner.java
@@ -58,13 +58,11 @@
 
   private void addOffer(
       List<InstanceOffer> offers, MachineType type, Resources capacity, int zone, boolean spot) {
-    if (state.fleet().isRefused(type.index(), zone, spot)
-        || state.zones().scaleOutLimit(zone) <= 0) {
-      return;
-    }
+    boolean available =
+        !state.fleet().isRefused(type.index(), zone, spot) && state.zones().scaleOutLimit(zone) > 0;
     double price = spot ? type.spotPrice() : type.price();
     InstanceKind kind = new InstanceKind(type.index(), zone, spot, price, type.fetchGbPerS());
-    offers.add(new InstanceOffer(kind, capacity, Units.toMs(type.bootS())));
+    offers.add(new InstanceOffer(kind, capacity, Units.toMs(type.bootS()), available));
   }
 
   /** Other shards may get the machines with these indices, which are idle and not reserved. */
--- /dev/null
+++ b/src/test/java/dev/windbend/plan/StarvationTest.java
@@ -0,0 +1,189 @@
+package dev.windbend.plan;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import it.unimi.dsi.fastutil.ints.IntOpenHashSet;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * One job among a stream of others that never ends, over many cycles in virtual time: it begins
+ * within the time that operators allow, however short the others' tasks are.
+ */
+class StarvationTest {
+  private static final long BEGIN_MS = 1_000_000;
+  private static final long CYCLE_MS = 1_000;
+  private static final long GIVEN_UP_MS = 600_000;
+
+  /** The largest jobs have to begin by then. */
+  private static final long MUST_HAVE_BEGUN_MS = 240_000;
+
+  /** As StarvedJobs has it. */
+  private static final long STARVED_AFTER_MS = 45_000;
+
+  private static final int OLDEST_FIRST_EVERY = 4;
+  private static final int CORES = 8;
+  private static final int IMAGE = 7;
+
+  /** A stream that always has more tasks than room. */
+  private record Stream(int cores, int rank, long estimateMs) {}
+
+  /** A task of the stream that runs. */
+  private record Running(long endMs, Stream stream, long startedMs) {}
+
+  private final List<List<Running>> machines = new ArrayList<>();
+  private final List<Stream> streams = new ArrayList<>();
+  private Random random = new Random(0);
+  private boolean refused;
+
+  @ParameterizedTest(
+      name = "{0} machines: {1} cores, rank {2}, {3} s beside {4} of rank {5}, {6} s")
+  @CsvSource({
+    "1, 4, 1, 100, 4, 2, 4",
+    "1, 8, 1, 100, 4, 2, 20",
+    "4, 8, 2, 100, 4, 2, 20",
+    "1, 8, 2, 100, 4, 2, 60",
+    "4, 8, 2, 30, 2, 2, 60",
+    "20, 8, 2, 30, 2, 2, 60",
+  })
+  void noJobIsPassedOverForEver(
+      int machineCount,
+      int cores,
+      int rank,
+      long estimateS,
+      int other,
+      int otherRank,
+      long otherS) {
+    streams.add(new Stream(other, otherRank, 1_000 * otherS));
+    for (long seed = 1; seed <= 5; seed++) {
+      for (boolean cloudRefuses : new boolean[] {false, true}) {
+        refused = cloudRefuses;
+        assertThat(firstStartMs(machineCount, new Stream(cores, rank, 1_000 * estimateS), seed))
+            .as("seed %d, the cloud refuses: %b", seed, cloudRefuses)
+            .isLessThanOrEqualTo(MUST_HAVE_BEGUN_MS);
+      }
+    }
+  }
+
+  /** A stream of whole machines has precedence; in what it leaves free a short one is quicker. */
+  @ParameterizedTest(name = "{0} machines")
+  @CsvSource({"1", "4", "20"})
+  void shortLowerTasksDoNotPassALongOneByForEver(int machineCount) {
+    streams.add(new Stream(4, 2, 4_000));
+    streams.add(new Stream(CORES, 0, 10_000));
+    for (long seed = 1; seed <= 5; seed++) {
+      assertThat(firstStartMs(machineCount, new Stream(4, 1, 100_000), seed))
+          .as("seed %d", seed)
+          .isLessThanOrEqualTo(2 * STARVED_AFTER_MS);
+    }
+  }
+
+  private long firstStartMs(int machineCount, Stream job, long seed) {
+    random = new Random(seed);
+    machines.clear();
+    for (int i = 0; i < machineCount; i++) {
+      machines.add(new ArrayList<>());
+      machines.get(i).add(running(streams.get(0), BEGIN_MS));
+    }
+    int cycle = 0;
+    for (long ageMs = 0; ageMs < GIVEN_UP_MS; ageMs += CYCLE_MS) {
+      long nowMs = BEGIN_MS + ageMs;
+      machines.forEach(tasks -> tasks.removeIf(task -> task.endMs() <= nowMs));
+      boolean oldestFirst = ++cycle % OLDEST_FIRST_EVERY == 0;
+      if (carryOut(Planner.plan(snapshot(job, ageMs, oldestFirst)), nowMs)) {
+        return ageMs;
+      }
+    }
+    return GIVEN_UP_MS;
+  }
+
+  /** Whether the job has begun. */
+  private boolean carryOut(SchedulingDecision decision, long nowMs) {
+    List<List<Running>> stopped = new ArrayList<>();
+    machines.forEach(tasks -> stopped.add(new ArrayList<>()));
+    for (SchedulingDecision.Preempt preempt : decision.preemptions()) {
+      Running task = machines.get(preempt.machine()).get(preempt.task());
+      stopped.get(preempt.machine()).add(task);
+    }
+    for (int i = 0; i < machines.size(); i++) {
+      machines.get(i).removeAll(stopped.get(i));
+    }
+    for (SchedulingDecision.Place place : decision.placements()) {
+      if (place.job() == streams.size()) {
+        return true;
+      }
+      machines.get(place.machine()).add(running(streams.get(place.job()), nowMs));
+    }
+    return false;
+  }
+
+  private Running running(Stream stream, long nowMs) {
+    long runMs = (long) (stream.estimateMs() * (0.7 + 0.6 * random.nextDouble()));
+    return new Running(nowMs + runMs, stream, nowMs);
+  }
+
+  private Snapshot snapshot(Stream job, long ageMs, boolean oldestFirst) {
+    long nowMs = BEGIN_MS + ageMs;
+    List<PendingJob> jobs = new ArrayList<>();
+    for (Stream stream : streams) {
+      jobs.add(pending(stream, 2 * machines.size(), nowMs, 1_000, true));
+    }
+    jobs.add(pending(job, 1, BEGIN_MS, ageMs, false));
+    List<MachineCapacity> capacities = new ArrayList<>();
+    machines.forEach(tasks -> capacities.add(capacity(tasks, nowMs)));
+    return new Snapshot(
+        nowMs,
+        new Snapshot.Limits(10_000, 3_000, 0),
+        oldestFirst,
+        0,
+        List.of(new Snapshot.Team(1_000, 0, 0, 0)),
+        jobs,
+        capacities,
+        List.of(new InstanceOffer(kind(), new Resources(CORES, 0, 64), 30_000, !refused)));
+  }
+
+  private static InstanceKind kind() {
+    return new InstanceKind(0, 0, true, 1, 1);
+  }
+
+  private static PendingJob pending(
+      Stream stream, int waiting, long submittedMs, long ageMs, boolean begun) {
+    Resources size = new Resources(stream.cores(), 0, 1);
+    long dueMs = submittedMs + 2 * stream.estimateMs();
+    boolean hopeless = submittedMs + ageMs + stream.estimateMs() > dueMs;
+    return new PendingJob(
+        0,
+        stream.rank(),
+        new PendingJob.Requirements(size, IMAGE, 0, stream.estimateMs()),
+        new PendingJob.Constraints(null, -1, false, false, true, 0, new IntOpenHashSet()),
+        new PendingJob.Progress(
+            waiting, waiting, new int[2], ageMs, begun, ageMs >= STARVED_AFTER_MS, false),
+        new PendingJob.Objectives(dueMs, hopeless, false, 0));
+  }
+
+  private static MachineCapacity capacity(List<Running> tasks, long nowMs) {
+    List<RunningTask> running = new ArrayList<>();
+    double free = CORES;
+    for (Running task : tasks) {
+      free -= task.stream().cores();
+      running.add(
+          new RunningTask(
+              task.endMs(),
+              new Resources(task.stream().cores(), 0, 1),
+              task.stream().rank(),
+              nowMs - task.startedMs()));
+    }
+    return new MachineCapacity(
+        kind(),
+        true,
+        0,
+        0,
+        new Resources(free, 0, 64),
+        new MachineCapacity.Lifetime(tasks.isEmpty(), nowMs + GIVEN_UP_MS, nowMs),
+        new IntOpenHashSet(new int[] {IMAGE}),
+        running);
+  }
+}
