Tidy: times by Units in three more classes of the shard, an unused component, doc comments

RequestPacer.QueuedCall.reject was never used once a call is queued; DeploymentSpec, TaskOutcomes and CloudListCheck defined MS_PER_SECOND beside Units; ShardLeader.handleHeartbeat's comment named a field; offers may be refused now. No behaviour changes.

--- a/src/main/java/dev/windbend/plan/Snapshot.java
+++ b/src/main/java/dev/windbend/plan/Snapshot.java
@@ -13,7 +13,7 @@
  * @param teams by their index
  * @param jobs those with waiting tasks
  * @param machines those that may get tasks, and those that are requested
- * @param offers what the cloud may be asked for
+ * @param offers what the cloud rents
  */
 public record Snapshot(
     long nowMs,
--- a/src/main/java/dev/windbend/shard/CapacityProvisioner.java
+++ b/src/main/java/dev/windbend/shard/CapacityProvisioner.java
@@ -43,7 +43,7 @@
     this.mayAct = mayAct;
   }
 
-  /** The machine types that the cloud may be asked for now, by zone, spot instances first. */
+  /** The machine types that the cloud rents, by zone, spot instances first; some not now. */
   List<InstanceOffer> offers() {
     List<InstanceOffer> offers = new ArrayList<>();
     for (MachineType type : state.catalog().all()) {
--- a/src/main/java/dev/windbend/shard/CloudListCheck.java
+++ b/src/main/java/dev/windbend/shard/CloudListCheck.java
@@ -12,8 +12,6 @@
   /** The shard whose leader looks for orphaned machines. */
   private static final int FIRST_SHARD = 0;
 
-  private static final double MS_PER_SECOND = 1_000;
-
   /** Multiples of the list's lag. */
   private static final double INHERITED_CHECK_LAGS = 2.5;
 
@@ -39,7 +37,7 @@
     this.fleet = fleet;
     this.index = index;
     this.orphanedMachines = orphanedMachines;
-    this.listLagMs = MS_PER_SECOND * listLagSeconds;
+    this.listLagMs = Units.MS_PER_SECOND * listLagSeconds;
   }
 
   /** The shard was taken over now. */
--- a/src/main/java/dev/windbend/shard/DeploymentSpec.java
+++ b/src/main/java/dev/windbend/shard/DeploymentSpec.java
@@ -22,14 +22,13 @@
     CloudLimits cloud,
     StoreLimits store,
     ServiceObjectives objectives) {
-  private static final double MS_PER_SECOND = 1_000;
 
   /** The leaders of all shards together take this part of the writes that are allowed. */
   private static final double SHARE_OF_WRITES = 0.5;
 
   /** Least time between two writes of a shard's leader. */
   long writeIntervalMs(int shards) {
-    return (long) (MS_PER_SECOND / SHARE_OF_WRITES * shards / store.writesPerSecond());
+    return (long) (Units.MS_PER_SECOND / SHARE_OF_WRITES * shards / store.writesPerSecond());
   }
 
   /** The guaranteed cores of all teams of a shard. */
--- a/src/main/java/dev/windbend/shard/ShardLeader.java
+++ b/src/main/java/dev/windbend/shard/ShardLeader.java
@@ -116,7 +116,7 @@
   }
 
   /**
-   * Takes in a heartbeat of one of the shard's services.machines.
+   * Takes in a heartbeat of one of the shard's machines.
    *
    * @param done called once with the answer, which may wait for work or for a write
    */
--- a/src/main/java/dev/windbend/shard/TaskOutcomes.java
+++ b/src/main/java/dev/windbend/shard/TaskOutcomes.java
@@ -12,8 +12,6 @@
  * Takes what heartbeats say of tasks to where it counts: records, estimates, blame for failures.
  */
 final class TaskOutcomes implements TaskReconciler.TaskEvents {
-  private static final double MS_PER_SECOND = 1_000;
-
   private final JobRegistry registry;
   private final Cancellations cancellations;
   private final NameIndex images;
@@ -52,7 +50,8 @@
   @Override
   public void taskCompleted(Placement placement, long nowMs) {
     if (placement.runningMs() >= 0) {
-      deadlines.taskCompleted(placement.job(), (nowMs - placement.runningMs()) / MS_PER_SECOND);
+      deadlines.taskCompleted(
+          placement.job(), (nowMs - placement.runningMs()) / Units.MS_PER_SECOND);
     }
   }
 
--- a/src/main/java/dev/windbend/store/RequestPacer.java
+++ b/src/main/java/dev/windbend/store/RequestPacer.java
@@ -33,7 +33,7 @@
     LEADER_WRITES
   }
 
-  private record QueuedCall(int writeCount, Runnable send, Runnable reject) {}
+  private record QueuedCall(int writeCount, Runnable send) {}
 
   RequestPacer(EventLoop loop, double requestsPerSecond, double writesPerSecond) {
     this.loop = loop;
@@ -52,7 +52,7 @@
       reject.run();
       return;
     }
-    queue.add(new QueuedCall(writeCount, send, reject));
+    queue.add(new QueuedCall(writeCount, send));
     drain();
   }
 
