Planner: one place for a task's run time on a machine, a lazy precedence table; no behaviour changes

Read once more after the known failures: the estimate with the image's fetch stood in four places (MachineReservations.runMs now); DisplacedPrecedence copied the list of machines in every cycle, also where nothing is displaced, and filled a table with nulls; two checks of JobCursor were alike but for the zones; whether a job may wait for its image was worked out for each machine; TaskOutcomes divided by hand where Units.toSeconds serves. GroupCommitterTest's comment promised an order that it no longer tests.

--- a/src/main/java/dev/windbend/plan/BinPacking.java
+++ b/src/main/java/dev/windbend/plan/BinPacking.java
@@ -55,9 +55,6 @@
     traceReservedAhead(cursor, machine);
     PendingJob.Requirements task = cursor.job().requirements();
     long fetchMs = machine.fetchMs(task);
-    boolean mayPassOverFreeCapacity =
-        state.nowMs() < cursor.job().objectives().startByMs()
-            && !DisplacedPrecedence.appliesTo(cursor.job());
     if (machine.freeNow().fits(task.resources())
         && machine.fitsNow(task.estimateMs() + fetchMs, task.resources())) {
       if (extensionCost(task, machine) <= maxExtensionCost) {
@@ -65,7 +62,7 @@
       } else {
         state.trace().met(cursor, DecisionTrace.Obstacle.EXTENSION_COST);
       }
-    } else if (mayPassOverFreeCapacity && fetchMs == 0) {
+    } else if (fetchMs == 0 && mayWaitForImage(cursor.job())) {
       long freeMs = machine.firstFitMs(task.estimateMs(), task.resources());
       long waitMs = freeMs - state.nowMs();
       if (waitMs < task.imageGb() * MS_PER_SECOND / machine.kind().fetchGbPerSecond()) {
@@ -74,9 +71,14 @@
     }
   }
 
+  /** An early start still counts; a displaced job leaves no room that is free to a lower one. */
+  private boolean mayWaitForImage(PendingJob job) {
+    return state.nowMs() < job.objectives().startByMs() && !DisplacedPrecedence.appliesTo(job);
+  }
+
   private void fill(JobCursor cursor, int keep, MachineReservations machine) {
     PendingJob.Requirements task = cursor.job().requirements();
-    long runMs = runMs(cursor, machine);
+    long runMs = machine.runMs(task);
     while (cursor.left() > keep
         && cursor.mayUse(machine)
         && machine.fitsNow(runMs, task.resources())) {
@@ -91,15 +93,11 @@
     PendingJob.Requirements task = cursor.job().requirements();
     if (state.trace().enabled()
         && machine.freeNow().fits(task.resources())
-        && !machine.fitsNow(runMs(cursor, machine), task.resources())) {
+        && !machine.fitsNow(machine.runMs(task), task.resources())) {
       state.trace().met(cursor, DecisionTrace.Obstacle.RESERVED_AHEAD);
     }
   }
 
-  private static long runMs(JobCursor cursor, MachineReservations machine) {
-    return cursor.estimateMs() + machine.fetchMs(cursor.job().requirements());
-  }
-
   /** Running past the paid block extends it. That must not cost more than a new machine would. */
   private double extensionCost(PendingJob.Requirements task, MachineReservations machine) {
     MachineCapacity capacity = machine.capacity();
--- a/src/main/java/dev/windbend/plan/CycleState.java
+++ b/src/main/java/dev/windbend/plan/CycleState.java
@@ -105,7 +105,7 @@
   void reserve(JobCursor cursor, MachineReservations machine, long atMs) {
     PendingJob job = cursor.job();
     Resources need = cursor.resources();
-    machine.reserve(atMs, cursor.estimateMs() + machine.fetchMs(job.requirements()), need);
+    machine.reserve(atMs, machine.runMs(job.requirements()), need);
     usedCores[job.team()] += need.cores();
     usedGpus[job.team()] += need.gpus();
     cursor.assigned(machine);
--- a/src/main/java/dev/windbend/plan/DecisionTrace.java
+++ b/src/main/java/dev/windbend/plan/DecisionTrace.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.stream.Collectors;
 
 /**
  * Why a cycle left tasks waiting, for logs and tests. A cycle that nobody asks for reasons runs
@@ -94,8 +93,6 @@
     for (SchedulingDecision.Place placed : decision.placements()) {
       left[placed.job()]--;
     }
-    return byJob.values().stream()
-        .filter(waiting -> left[waiting.job()] > 0)
-        .collect(Collectors.toList());
+    return byJob.values().stream().filter(waiting -> left[waiting.job()] > 0).toList();
   }
 }
--- a/src/main/java/dev/windbend/plan/DisplacedPrecedence.java
+++ b/src/main/java/dev/windbend/plan/DisplacedPrecedence.java
@@ -1,5 +1,6 @@
 package dev.windbend.plan;
 
+import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -11,8 +12,9 @@
 final class DisplacedPrecedence {
   private final List<MachineReservations> machines;
 
-  /** By machine of the snapshot; null: no task waits that may use it. */
-  private final List<List<Waiting>> waitingByMachine;
+  /** By index of the machine, for those that waiting tasks may use. */
+  private final Int2ObjectOpenHashMap<List<Waiting>> waitingByMachine =
+      new Int2ObjectOpenHashMap<>();
 
   /** Tasks of this rank and size wait. */
   private record Waiting(int rank, Resources size) {
@@ -21,9 +23,8 @@
     }
   }
 
-  DisplacedPrecedence(List<MachineReservations> machinesOfSnapshot) {
-    this.machines = List.copyOf(machinesOfSnapshot);
-    this.waitingByMachine = new ArrayList<>();
+  DisplacedPrecedence(List<MachineReservations> machines) {
+    this.machines = machines;
   }
 
   /** Whether jobs like this one have precedence: displaced, and in time for one of their limits. */
@@ -36,9 +37,6 @@
     if (!appliesTo(cursor.job()) || !cursor.leftWaiting()) {
       return;
     }
-    if (waitingByMachine.isEmpty()) {
-      machines.forEach(machine -> waitingByMachine.add(null));
-    }
     Waiting waiting = new Waiting(cursor.job().rank(), cursor.resources());
     for (MachineReservations machine : machines) {
       if (machine.up() && cursor.mayStartOn(machine)) {
@@ -48,11 +46,7 @@
   }
 
   private void add(int machine, Waiting waiting) {
-    List<Waiting> known = waitingByMachine.get(machine);
-    if (known == null) {
-      known = new ArrayList<>(1);
-      waitingByMachine.set(machine, known);
-    }
+    List<Waiting> known = waitingByMachine.computeIfAbsent(machine, key -> new ArrayList<>(1));
     for (Waiting other : known) {
       if (other.rank() <= waiting.rank() && waiting.size().fits(other.size())) {
         return;
@@ -66,11 +60,7 @@
     if (waitingByMachine.isEmpty() || !cursor.job().progress().displaced()) {
       return false;
     }
-    List<Waiting> known = waitingByMachine.get(machine.index());
-    if (known == null) {
-      return false;
-    }
-    for (Waiting waiting : known) {
+    for (Waiting waiting : waitingByMachine.getOrDefault(machine.index(), List.of())) {
       if (waiting.precedes(cursor.job().rank(), cursor.resources())) {
         return true;
       }
--- a/src/main/java/dev/windbend/plan/JobCursor.java
+++ b/src/main/java/dev/windbend/plan/JobCursor.java
@@ -54,7 +54,7 @@
 
   /** Whether the next task may run on this kind of machine: constraints and anti-affinity. */
   boolean mayUse(InstanceKind kind) {
-    return constraints.allows(kind) && assignedZones.allowNext(kind.zone());
+    return allows(kind, assignedZones);
   }
 
   /** Whether the next task may run on the machine, if it has capacity. */
@@ -64,9 +64,11 @@
 
   /** The same, were it to start now: reservations bind no zone. */
   boolean mayStartOn(MachineReservations machine) {
-    return constraints.allows(machine.kind())
-        && startedZones.allowNext(machine.kind().zone())
-        && !avoids(machine);
+    return allows(machine.kind(), startedZones) && !avoids(machine);
+  }
+
+  private boolean allows(InstanceKind kind, ZoneCounts zones) {
+    return constraints.allows(kind) && zones.allowNext(kind.zone());
   }
 
   private boolean avoids(MachineReservations machine) {
--- a/src/main/java/dev/windbend/plan/MachineReservations.java
+++ b/src/main/java/dev/windbend/plan/MachineReservations.java
@@ -100,6 +100,11 @@
         : (long) (MS_PER_SECOND * task.imageGb() / kind.fetchGbPerSecond());
   }
 
+  /** How long a task takes on the machine, as estimated, with the fetch of its image. */
+  long runMs(PendingJob.Requirements task) {
+    return task.estimateMs() + fetchMs(task);
+  }
+
   private long endMs(RunningTask task) {
     return Math.max(task.endMs(), nowMs + 1);
   }
--- a/src/main/java/dev/windbend/plan/SoonFreeMachines.java
+++ b/src/main/java/dev/windbend/plan/SoonFreeMachines.java
@@ -73,7 +73,7 @@
       boolean orInTime) {
     state.examined(1);
     PendingJob.Requirements task = job.requirements();
-    long runMs = task.estimateMs() + machine.fetchMs(task);
+    long runMs = machine.runMs(task);
     long freeMs = machine.firstFitMs(runMs, task.resources());
     boolean inTime =
         orInTime && freeMs < Long.MAX_VALUE && freeMs + runMs <= job.objectives().dueMs();
--- a/src/main/java/dev/windbend/shard/TaskOutcomes.java
+++ b/src/main/java/dev/windbend/shard/TaskOutcomes.java
@@ -50,8 +50,7 @@
   @Override
   public void taskCompleted(Placement placement, long nowMs) {
     if (placement.runningMs() >= 0) {
-      deadlines.taskCompleted(
-          placement.job(), (nowMs - placement.runningMs()) / Units.MS_PER_SECOND);
+      deadlines.taskCompleted(placement.job(), Units.toSeconds(nowMs - placement.runningMs()));
     }
   }
 
--- a/src/test/java/dev/windbend/store/GroupCommitterTest.java
+++ b/src/test/java/dev/windbend/store/GroupCommitterTest.java
@@ -12,7 +12,7 @@
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 
-/** What a shard's leader commits together, and in which order. */
+/** What a shard's leader commits together. */
 class GroupCommitterTest {
   private static final int MAX_WRITES = 8;
   private static final int MAX_CONDITIONS = 4 * MAX_WRITES;
