Size limits of messages in one place; a rejected request body is logged

Cause: a body over 64 KiB was refused with 413 without a trace, so the logs could not tell whether a worker's heartbeat was lost, or refused because a machine had more tasks than it can list.

--- a/src/main/java/dev/windbend/runtime/HttpServer.java
+++ b/src/main/java/dev/windbend/runtime/HttpServer.java
@@ -12,6 +12,8 @@
 import java.nio.ByteBuffer;
 import java.util.HashMap;
 import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.xnio.Options;
 import org.xnio.XnioWorker;
 
@@ -20,7 +22,8 @@
  * read completely.
  */
 public final class HttpServer {
-  private static final long MAX_BODY_BYTES = 64 * 1024;
+  private static final Logger LOG = LoggerFactory.getLogger(HttpServer.class);
+
   private static final int IDLE_TIMEOUT_MS = 120_000;
   private static final int PARSE_TIMEOUT_MS = 10_000;
 
@@ -39,7 +42,8 @@
         Undertow.builder()
             .setWorker(worker)
             .setByteBufferPool(buffers)
-            .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, MAX_BODY_BYTES)
+            .setServerOption(
+                UndertowOptions.MAX_ENTITY_SIZE, (long) MessageLimits.MAX_REQUEST_BYTES)
             .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_TIMEOUT_MS)
             .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, PARSE_TIMEOUT_MS)
             .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
@@ -83,11 +87,16 @@
   private static void rejectUnreadable(HttpServerExchange exchange, IOException failure) {
     exchange.setPersistent(false);
     boolean tooLarge =
-        exchange.getRequestContentLength() > MAX_BODY_BYTES
+        exchange.getRequestContentLength() > MessageLimits.MAX_REQUEST_BYTES
             || failure instanceof RequestTooBigException;
-    respond(
-        exchange,
-        ServerResponse.ofStatus(tooLarge ? HttpStatus.PAYLOAD_TOO_LARGE : HttpStatus.BAD_REQUEST));
+    int status = tooLarge ? HttpStatus.PAYLOAD_TOO_LARGE : HttpStatus.BAD_REQUEST;
+    LOG.warn(
+        "request body rejected: from={} path={} bytes={} status={}",
+        exchange.getSourceAddress(),
+        exchange.getRequestPath(),
+        exchange.getRequestContentLength(),
+        status);
+    respond(exchange, ServerResponse.ofStatus(status));
   }
 
   private static void respond(HttpServerExchange exchange, ServerResponse response) {
