Heartbeat responses within one line of 64 KiB; commands that do not fit follow

What callers saw: the starts of a guest team's array of 1,500 tasks came as one line of 88,912 bytes. Cause: the response to a heartbeat held a command for each task of the machine, whatever their number: starts, stops, acknowledgements, the stops that need no lease too. Change: CommandBatch takes commands as long as the message stays within its limit and defers all later ones, so that order holds: stops, acknowledgements, starts. A start that is deferred is not recorded as sent. Why it works: a worker that executes a command reports within half a second, since a task changed, and gets the rest.

--- a/src/main/java/dev/windbend/worker/HeartbeatHandler.java
+++ b/src/main/java/dev/windbend/worker/HeartbeatHandler.java
@@ -32,6 +32,7 @@
   private final EventLoop loop;
   private final Fleet fleet;
   private final TaskReconciler reconciler;
+  private final HeartbeatResponseBuilder responses;
   private final DirectStopClient directStops;
   private final Leadership leadership;
   private final SchedulingTrigger scheduling;
@@ -79,6 +80,7 @@
     this.loop = loop;
     this.fleet = fleet;
     this.reconciler = reconciler;
+    this.responses = new HeartbeatResponseBuilder(reconciler, leadership, token);
     this.directStops = directStops;
     this.leadership = leadership;
     this.scheduling = scheduling;
@@ -107,7 +109,7 @@
     if (!machine.liveness().isNewer(heartbeat.incarnation(), heartbeat.sequence())) {
       // A duplicate, or a heartbeat delayed by the network. It is older than the recorded state and
       // its sender no longer waits for the response, so it neither confirms nor renews anything.
-      responseCallback.accept(restrictedResponse(machine, heartbeat));
+      responseCallback.accept(responses.restrictedResponse(machine, heartbeat));
       return;
     }
     respondToSuperseded(machine);
@@ -116,7 +118,7 @@
       if (leadership.mayAct()) {
         machine.liveness().recordResponseUnderToken();
       }
-      responseCallback.accept(restrictedResponse(machine, heartbeat));
+      responseCallback.accept(responses.restrictedResponse(machine, heartbeat));
       return;
     }
     reconcile(machine, heartbeat, nowMs);
@@ -138,7 +140,7 @@
   private void respondToSuperseded(Machine machine) {
     HeldHeartbeat held = heldHeartbeats.release(machine);
     if (held != null) {
-      held.responseCallback().accept(restrictedResponse(machine, held.heartbeat()));
+      held.responseCallback().accept(responses.restrictedResponse(machine, held.heartbeat()));
     }
     machine.liveness().endAwaitingResponse();
   }
@@ -269,50 +271,8 @@
     }
     responseCallback.accept(
         isNewest && mayAct
-            ? response(leaderResponseKind(machine), machine, heartbeat)
-            : restrictedResponse(machine, heartbeat));
-  }
-
-  private static ResponseKind leaderResponseKind(Machine machine) {
-    boolean mayStart = !machine.terminating() && !machine.cordoned() && machine.recorded();
-    return mayStart ? ResponseKind.RENEW_STOP_AND_START : ResponseKind.RENEW_AND_STOP;
-  }
-
-  /**
-   * Builds the response for a controller that cannot confirm its leadership, or the tasks on the
-   * machine. The response renews the worker's lease and stops tasks of cancelled jobs; it carries
-   * no other command.
-   *
-   * <p>Renewing is safe: no controller treats the expiry of a worker's lease as proof that its
-   * tasks have terminated, and the next leader has a higher token. Without confirmed leadership,
-   * the response is an error that renews nothing in two cases: while the state service serves other
-   * controllers, so that workers find those controllers, and once the limit set by {@link
-   * Leadership#mayRenewWorkerLeases} has passed. The response is built when it is sent, because the
-   * situation may change while a heartbeat is held.
-   */
-  private ServerResponse restrictedResponse(Machine machine, Heartbeat heartbeat) {
-    ResponseKind kind =
-        leadership.mayAct() || leadership.mayRenewWorkerLeases()
-            ? ResponseKind.RENEW_AND_STOP_CANCELLED
-            : ResponseKind.REJECT;
-    return response(kind, machine, heartbeat);
-  }
-
-  private ServerResponse response(ResponseKind kind, Machine machine, Heartbeat heartbeat) {
-    return switch (kind) {
-      case REJECT -> ServerResponse.ofStatus(HttpStatus.SERVICE_UNAVAILABLE);
-      case RENEW_AND_STOP_CANCELLED ->
-          renewalResponse(machine, reconciler.stopsForCancelledTasks(heartbeat));
-      case RENEW_AND_STOP ->
-          renewalResponse(machine, reconciler.commandsWithoutStarts(machine, heartbeat));
-      case RENEW_STOP_AND_START ->
-          renewalResponse(machine, reconciler.commandsWithStarts(machine, heartbeat));
-    };
-  }
-
-  private ServerResponse renewalResponse(Machine machine, List<Command> commands) {
-    return ServerResponse.of(
-        HttpStatus.OK, new WorkerMessages.HeartbeatResponse(machine.token(token), commands));
+            ? responses.leaderResponse(machine, heartbeat)
+            : responses.restrictedResponse(machine, heartbeat));
   }
 
   private static boolean hasFreeCapacity(Machine machine) {
--- a/src/main/java/dev/windbend/worker/TaskReconciler.java
+++ b/src/main/java/dev/windbend/worker/TaskReconciler.java
@@ -226,21 +226,19 @@
   }
 
   /**
-   * Builds all commands that bring the machine to the desired state. Starts come last and are
-   * recorded as sent in the response to this heartbeat.
+   * Adds the starts of placed tasks that the heartbeat does not list. Each start that fits into the
+   * batch is recorded as sent in the response to this heartbeat; the others remain pending.
    */
-  List<Command> commandsWithStarts(Machine machine, Heartbeat heartbeat) {
-    List<Command> commands = commandsWithoutStarts(machine, heartbeat);
+  void addStarts(Machine machine, Heartbeat heartbeat, CommandBatch batch) {
     for (Placement placement : machine.tasks().values()) {
       if (!placement.reported() && placement.job().mayStart(placement)) {
         String taskName = placement.taskName();
-        if (!heartbeat.reports(taskName, placement.attempt())) {
+        if (!heartbeat.reports(taskName, placement.attempt())
+            && batch.add(Command.start(taskName, placement.attempt()))) {
           placement.recordStartSent(heartbeat.incarnation(), heartbeat.sequence());
-          commands.add(Command.start(taskName, placement.attempt()));
         }
       }
     }
-    return commands;
   }
 
   /**
