Direct stops of one machine go out in requests of at most 64 KiB

What callers saw: nothing yet; the worker of a machine with many tasks of a cancelled job would refuse the whole request, so that the stops wait for its next heartbeat, or for the end of its lease if it reaches no controller. Cause: as in heartbeat responses, POST /commands held a stop for each task of the cancelled job on the machine. Evidence: 2,000 stops for one machine, with the longest numbers, were one body of 168,958 bytes. Change: DirectStopClient divides them (CommandBatch.divide); the requests share its queue and its limit of calls. Why it works: each request is executed by itself, order among stops does not matter, and what a request loses the next heartbeat repeats. Test: DirectStopClientTest.dividesStopsForOneMachineAmongRequests, red with the limit taken off, green with it.

--- a/src/main/java/dev/windbend/worker/CommandBatch.java
+++ b/src/main/java/dev/windbend/worker/CommandBatch.java
@@ -62,4 +62,23 @@
   int deferredCount() {
     return deferredCount;
   }
+
+  /**
+   * Divides the commands among as many messages as they need, in order.
+   *
+   * @param maxMessageBytes maximum size of each message in bytes
+   */
+  static List<List<Command>> divide(List<Command> commands, int maxMessageBytes) {
+    List<List<Command>> messages = new ArrayList<>();
+    CommandBatch batch = new CommandBatch(maxMessageBytes);
+    for (Command command : commands) {
+      if (!batch.add(command)) {
+        messages.add(batch.commands());
+        batch = new CommandBatch(maxMessageBytes);
+        batch.add(command);
+      }
+    }
+    messages.add(batch.commands());
+    return messages;
+  }
 }
--- a/src/main/java/dev/windbend/worker/DirectStopClient.java
+++ b/src/main/java/dev/windbend/worker/DirectStopClient.java
@@ -4,6 +4,7 @@
 import dev.windbend.runtime.EventLoop;
 import dev.windbend.runtime.HttpClient;
 import dev.windbend.runtime.Json;
+import dev.windbend.runtime.MessageLimits;
 import java.util.ArrayDeque;
 import java.util.List;
 
@@ -22,7 +23,7 @@
   private static final int MAX_CALLS_IN_PROGRESS = 12;
 
   /**
-   * Limit of the queue: one stop per machine for twice a fleet of 4,000 machines. Cancelling a
+   * Limit of the queue: one request per machine for twice a fleet of 4,000 machines. Cancelling a
    * large array job can require a stop on every machine.
    */
   private static final int MAX_QUEUED = 8_000;
@@ -59,12 +60,16 @@
   }
 
   void send(String address, long token, long incarnation, List<WorkerMessages.Command> stops) {
-    if (queue.size() < MAX_QUEUED) {
-      WorkerMessages.DirectCommands commands =
-          new WorkerMessages.DirectCommands(token, incarnation, stops);
-      queue.add(new QueuedStops(address, commands, loop.nowMs() + maxQueueTimeMs));
-      sendQueued();
+    long expiresMs = loop.nowMs() + maxQueueTimeMs;
+    for (List<WorkerMessages.Command> part :
+        CommandBatch.divide(stops, MessageLimits.MAX_REQUEST_BYTES)) {
+      if (queue.size() < MAX_QUEUED) {
+        queue.add(
+            new QueuedStops(
+                address, new WorkerMessages.DirectCommands(token, incarnation, part), expiresMs));
+      }
     }
+    sendQueued();
   }
 
   private void sendQueued() {
--- a/src/test/java/dev/windbend/runtime/ManualHttpClient.java
+++ b/src/test/java/dev/windbend/runtime/ManualHttpClient.java
@@ -12,6 +12,9 @@
   /** The addresses of the calls, oldest first. */
   public final List<String> addresses = new ArrayList<>();
 
+  /** The bodies of the calls, oldest first. */
+  public final List<byte[]> bodies = new ArrayList<>();
+
   /** The callbacks that receive the responses to the calls, oldest first. */
   public final List<Consumer<ClientResponse>> responseCallbacks = new ArrayList<>();
 
@@ -25,6 +28,7 @@
       Consumer<ClientResponse> done) {
     addresses.add(address);
     paths.add(path);
+    bodies.add(body);
     responseCallbacks.add(done);
   }
 }
--- a/src/test/java/dev/windbend/worker/DirectStopClientTest.java
+++ b/src/test/java/dev/windbend/worker/DirectStopClientTest.java
@@ -3,14 +3,17 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import dev.windbend.runtime.ClientResponse;
+import dev.windbend.runtime.Json;
 import dev.windbend.runtime.ManualEventLoop;
 import dev.windbend.runtime.ManualHttpClient;
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
 class DirectStopClientTest {
   private static final int FLEET_SIZE = 4_000;
   private static final int MAX_CALLS_IN_PROGRESS = 12;
+  private static final int MAX_REQUEST_BYTES = 65_536;
 
   private final ManualEventLoop loop = new ManualEventLoop(1_000);
   private final ManualHttpClient httpClient = new ManualHttpClient();
@@ -42,6 +45,24 @@
     assertThat(httpClient.addresses).doesNotHaveDuplicates().hasSize(FLEET_SIZE);
   }
 
+  /**
+   * Guards against one request with all stops of a machine, which may exceed its limit of bytes.
+   */
+  @Test
+  void dividesStopsForOneMachineAmongRequests() {
+    List<WorkerMessages.Command> stops = new ArrayList<>();
+    for (int task = 0; task < 2_000; task++) {
+      stops.add(WorkerMessages.Command.stop("wk-000001/" + task, 1L << 62, 0));
+    }
+    client.send("10.0.0.1:9000", Long.MAX_VALUE, Long.MAX_VALUE, stops);
+    List<WorkerMessages.Command> sent = new ArrayList<>();
+    for (byte[] body : httpClient.bodies) {
+      assertThat(body).hasSizeLessThanOrEqualTo(MAX_REQUEST_BYTES);
+      sent.addAll(Json.read(body, WorkerMessages.DirectCommands.class).commands());
+    }
+    assertThat(sent).isEqualTo(stops);
+  }
+
   @Test
   void discardsStopsQueuedForHeartbeatInterval() {
     cancelHugeArray();
