A machine gets no more tasks than its worker's heartbeat can list

Cause: a worker lists each task until its exit is acknowledged, in a request body of at most 64 KiB; placement and scale-out knew only cores, GPUs and memory. Change: 512 task slots a machine (HeartbeatTaskLimit: the limit of a body by the longest entry that the protocol allows). Resources has them as a fourth amount, so placements, reservations, scale-outs and transfers count them; an exited task holds its slot until the worker no longer lists it, a preempted one too. Machines of a release without the limit may have more: StopLimit stops no more tasks at once than the next heartbeat has space for. Status line and metric tell machines at the limit. Why it works: the sum of the longest entries and of the other fields is within the limit whatever state each task is in. Cost: tiny tasks need more machines, three instead of one for 1,500.

--- a/src/main/java/dev/windbend/daemon/MetricsEndpoint.java
+++ b/src/main/java/dev/windbend/daemon/MetricsEndpoint.java
@@ -37,6 +37,11 @@
         .register(registry);
     Gauge.builder("windbend.machines", leaders, all -> all.sum(ShardLeader::machineCount))
         .register(registry);
+    Gauge.builder(
+            "windbend.machines.at.task.limit",
+            leaders,
+            all -> all.sum(ShardLeader::machinesAtTaskLimit))
+        .register(registry);
     Gauge.builder(
             "windbend.waiting.oldest.s", leaders, all -> all.max(ShardLeader::oldestWaitSeconds))
         .register(registry);
--- a/src/main/java/dev/windbend/machine/Machine.java
+++ b/src/main/java/dev/windbend/machine/Machine.java
@@ -3,7 +3,6 @@
 import dev.windbend.job.Placement;
 import it.unimi.dsi.fastutil.ints.IntOpenHashSet;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
@@ -39,8 +38,6 @@
  * missed responses, which the scheduling loop checks itself.
  */
 public final class Machine {
-  private static final double ROUNDING_TOLERANCE = 1e-6;
-
   private final String name;
   private final MachineType type;
   private final int zone;
@@ -52,9 +49,7 @@
   private boolean cordoned;
   private boolean zoneClosed;
   private final IntOpenHashSet images = new IntOpenHashSet();
-  private final Map<String, Placement> tasks = new LinkedHashMap<>();
   private final Set<String> failedJobs = new HashSet<>();
-  private long idleSinceMs;
   private long startsRefusedUntilMs;
   private boolean inherited;
   private int reservedForShard = -1;
@@ -70,10 +65,8 @@
   /** Whether a transfer to another shard has started. */
   private boolean transferStarted;
 
-  /** Whether a task has been placed on it since it was added to this shard. */
-  private boolean everUsed;
-
-  private final FreeCapacityWindow freeCapacity;
+  /** Tasks placed on it since it was added to this shard. */
+  private final MachineTasks tasks;
 
   /** Stages of a machine's life, passed in this order. */
   private enum Service {
@@ -89,8 +82,7 @@
     this.zone = request.zone;
     this.spot = request.record.spot();
     this.requestedMs = requestedMs;
-    this.idleSinceMs = nowMs;
-    this.freeCapacity = new FreeCapacityWindow(type.cores());
+    this.tasks = new MachineTasks(type, nowMs);
   }
 
   /** Name assigned by the cloud. */
@@ -201,7 +193,7 @@
    * only {@link #add} and {@link #remove} change it.
    */
   public Map<String, Placement> tasks() {
-    return tasks;
+    return tasks.byName();
   }
 
   /** Counts the jobs with failures on it since its last successful task that match the filter. */
@@ -226,7 +218,7 @@
 
   /** Since when it has had no tasks (monotonic clock, ms); -1: it has tasks. */
   public long idleSinceMs() {
-    return idleSinceMs;
+    return tasks.idleSinceMs();
   }
 
   /** Time before which it gets no new tasks, because it refused a start (monotonic clock, ms). */
@@ -284,34 +276,38 @@
 
   /** Cores that are not requested by any task on it. */
   public double freeCores() {
-    double free = type.cores();
-    for (Placement p : tasks.values()) {
-      free -= p.job().spec().cores();
-    }
-    return free;
+    return tasks.freeCores();
   }
 
-  /** Whether these resources are free in addition to those of the tasks on it. */
+  /** Whether these resources are free for one more task in addition to those on it. */
   boolean hasCapacityFor(double cores, double gpus, double memoryGb) {
-    double freeCores = type.cores() + ROUNDING_TOLERANCE;
-    double freeGpus = type.gpus() + ROUNDING_TOLERANCE;
-    double freeMemoryGb = type.memoryGb() + ROUNDING_TOLERANCE;
-    for (Placement p : tasks.values()) {
-      freeCores -= p.job().spec().cores();
-      freeGpus -= p.job().spec().gpus();
-      freeMemoryGb -= p.job().spec().memoryGb();
-    }
-    return freeCores >= cores && freeGpus >= gpus && freeMemoryGb >= memoryGb;
+    return tasks.hasCapacityFor(cores, gpus, memoryGb);
+  }
+
+  /**
+   * How many more tasks its worker's heartbeat can list, see {@link HeartbeatTaskLimit}. Negative
+   * if a controller without this limit has placed more tasks.
+   */
+  public int freeTaskSlots() {
+    return tasks.freeTaskSlots();
+  }
+
+  /**
+   * Sets how many tasks the worker's newest heartbeat lists that are not placed on the machine:
+   * most of them have exited, and their exit is not acknowledged yet.
+   */
+  public void setUnplacedTasks(int count) {
+    tasks.setUnplacedTasks(count);
   }
 
   /** Starts a new time window for the minimum of free cores. */
   public void beginFreeCapacityWindow() {
-    freeCapacity.beginWindow(freeCores());
+    tasks.beginFreeCapacityWindow();
   }
 
   /** Cores that have been free throughout the current and the previous time window. */
   public double sustainedFreeCores() {
-    return freeCapacity.sustainedFreeCores();
+    return tasks.sustainedFreeCores();
   }
 
   /**
@@ -377,22 +373,16 @@
    * themselves endlessly, and the cloud could not reallocate its capacity to the kind they need.
    */
   public boolean mayBeTransferred() {
-    return everUsed || request.fence == 0;
+    return tasks.everUsed() || request.fence == 0;
   }
 
   /** Adds a task that has been placed on it. */
   public void add(Placement placement) {
-    everUsed = true;
-    tasks.put(placement.taskName(), placement);
-    freeCapacity.record(freeCores());
-    idleSinceMs = -1;
+    tasks.add(placement);
   }
 
   /** Removes a task that is confirmed terminated. */
   public void remove(Placement placement, long nowMs) {
-    tasks.remove(placement.taskName(), placement);
-    if (tasks.isEmpty() && idleSinceMs < 0) {
-      idleSinceMs = nowMs;
-    }
+    tasks.remove(placement, nowMs);
   }
 }
--- a/src/main/java/dev/windbend/plan/MachineReservations.java
+++ b/src/main/java/dev/windbend/plan/MachineReservations.java
@@ -205,7 +205,10 @@
     return preempted != null && preempted.contains(task);
   }
 
-  /** Frees the resources of a running task now instead of at its end. */
+  /**
+   * Frees the resources of a running task now instead of at its end. Its task slot stays occupied:
+   * the worker lists the exited task until the exit is acknowledged.
+   */
   void preempt(int task) {
     RunningTask running = capacity.running().get(task);
     if (preempted == null) {
@@ -213,6 +216,7 @@
     }
     preempted.add(task);
     changes.remove(new CapacityChange(endMs(running), running.resources()));
-    freeNow = freeNow.plus(running.resources());
+    addChange(endMs(running), running.resources().onlyTaskSlots());
+    freeNow = freeNow.plus(running.resources().withoutTaskSlots());
   }
 }
--- a/src/main/java/dev/windbend/plan/Preemption.java
+++ b/src/main/java/dev/windbend/plan/Preemption.java
@@ -88,7 +88,7 @@
       if (free.fits(need)) {
         break;
       }
-      free = free.plus(running.get(task).resources());
+      free = free.plus(running.get(task).resources().withoutTaskSlots());
       lostWork += running.get(task).lostWork();
       victims.add(task);
     }
--- a/src/main/java/dev/windbend/plan/Resources.java
+++ b/src/main/java/dev/windbend/plan/Resources.java
@@ -6,10 +6,11 @@
  * @param cores CPU cores; fractions are allowed
  * @param gpus GPUs; fractions are allowed
  * @param memoryGb memory in GB
+ * @param taskSlots number of tasks; a machine's worker can list only so many in a heartbeat
  */
-public record Resources(double cores, double gpus, double memoryGb) {
+public record Resources(double cores, double gpus, double memoryGb, int taskSlots) {
   /** Zero of each resource. */
-  public static final Resources NONE = new Resources(0, 0, 0);
+  public static final Resources NONE = new Resources(0, 0, 0, 0);
 
   /**
    * Amounts that differ by less count as equal, because floating-point sums depend on the order of
@@ -20,14 +21,27 @@
   /** Result of {@link #timesFits} for a need of nothing; more tasks than any job has. */
   private static final double UNLIMITED = 1e9;
 
+  /** Returns the resources that one task needs. */
+  public static Resources ofTask(double cores, double gpus, double memoryGb) {
+    return new Resources(cores, gpus, memoryGb, 1);
+  }
+
   /** Returns the sum of both. */
   public Resources plus(Resources other) {
-    return new Resources(cores + other.cores, gpus + other.gpus, memoryGb + other.memoryGb);
+    return new Resources(
+        cores + other.cores,
+        gpus + other.gpus,
+        memoryGb + other.memoryGb,
+        taskSlots + other.taskSlots);
   }
 
   /** Returns this minus the other. */
   public Resources minus(Resources other) {
-    return new Resources(cores - other.cores, gpus - other.gpus, memoryGb - other.memoryGb);
+    return new Resources(
+        cores - other.cores,
+        gpus - other.gpus,
+        memoryGb - other.memoryGb,
+        taskSlots - other.taskSlots);
   }
 
   /** Returns the smaller amount of each resource. */
@@ -35,7 +49,18 @@
     return new Resources(
         Math.min(cores, other.cores),
         Math.min(gpus, other.gpus),
-        Math.min(memoryGb, other.memoryGb));
+        Math.min(memoryGb, other.memoryGb),
+        Math.min(taskSlots, other.taskSlots));
+  }
+
+  /** Returns the same amounts without task slots. */
+  public Resources withoutTaskSlots() {
+    return new Resources(cores, gpus, memoryGb, 0);
+  }
+
+  /** Returns only the task slots. */
+  public Resources onlyTaskSlots() {
+    return new Resources(0, 0, 0, taskSlots);
   }
 
   /**
@@ -47,6 +72,7 @@
     times = need.cores > 0 ? Math.min(times, (cores + TOLERANCE) / need.cores) : times;
     times = need.gpus > 0 ? Math.min(times, (gpus + TOLERANCE) / need.gpus) : times;
     times = need.memoryGb > 0 ? Math.min(times, (memoryGb + TOLERANCE) / need.memoryGb) : times;
+    times = need.taskSlots > 0 ? Math.min(times, (double) taskSlots / need.taskSlots) : times;
     return (int) times;
   }
 
@@ -54,6 +80,7 @@
   public boolean fits(Resources need) {
     return cores + TOLERANCE >= need.cores
         && gpus + TOLERANCE >= need.gpus
-        && memoryGb + TOLERANCE >= need.memoryGb;
+        && memoryGb + TOLERANCE >= need.memoryGb
+        && taskSlots >= need.taskSlots;
   }
 }
--- a/src/main/java/dev/windbend/shard/CapacityProvisioner.java
+++ b/src/main/java/dev/windbend/shard/CapacityProvisioner.java
@@ -1,6 +1,7 @@
 package dev.windbend.shard;
 
 import dev.windbend.machine.Fleet;
+import dev.windbend.machine.HeartbeatTaskLimit;
 import dev.windbend.machine.Machine;
 import dev.windbend.machine.MachineType;
 import dev.windbend.peer.MachineTransferMessages;
@@ -53,7 +54,8 @@
   List<InstanceOffer> offers() {
     List<InstanceOffer> offers = new ArrayList<>();
     for (MachineType type : state.catalog().all()) {
-      Resources capacity = new Resources(type.cores(), type.gpus(), type.memoryGb());
+      Resources capacity =
+          new Resources(type.cores(), type.gpus(), type.memoryGb(), HeartbeatTaskLimit.MAX_TASKS);
       for (int zone : type.zones()) {
         addOffer(offers, type, capacity, zone, true);
         addOffer(offers, type, capacity, zone, false);
--- a/src/main/java/dev/windbend/shard/MachineCapacityBuilder.java
+++ b/src/main/java/dev/windbend/shard/MachineCapacityBuilder.java
@@ -3,6 +3,7 @@
 import dev.windbend.job.Job;
 import dev.windbend.job.Placement;
 import dev.windbend.machine.Fleet;
+import dev.windbend.machine.HeartbeatTaskLimit;
 import dev.windbend.machine.Machine;
 import dev.windbend.machine.MachineType;
 import dev.windbend.plan.MachineAttributes;
@@ -65,11 +66,12 @@
    */
   MachineCapacity fromMachine(Machine machine, List<Placement> tasks, long nowMs) {
     MachineType type = machine.type();
-    Resources free = resources(type);
+    // The tasks in the list do not include all that the worker may have to list.
+    Resources free = resources(type, machine.freeTaskSlots());
     List<RunningTask> running = new ArrayList<>();
     for (Placement task : tasks) {
       Resources used = resources(task.job());
-      free = free.minus(used);
+      free = free.minus(used.withoutTaskSlots());
       running.add(
           new RunningTask(
               expectedEndMs(task, type, nowMs),
@@ -108,7 +110,7 @@
         false,
         0,
         readyMs,
-        resources(type),
+        resources(type, HeartbeatTaskLimit.MAX_TASKS),
         new MachineCapacity.Lifetime(false, readyMs, readyMs),
         new IntOpenHashSet(),
         List.of());
@@ -120,11 +122,11 @@
   }
 
   static Resources resources(Job job) {
-    return new Resources(job.spec().cores(), job.spec().gpus(), job.spec().memoryGb());
+    return Resources.ofTask(job.spec().cores(), job.spec().gpus(), job.spec().memoryGb());
   }
 
-  private static Resources resources(MachineType type) {
-    return new Resources(type.cores(), type.gpus(), type.memoryGb());
+  private static Resources resources(MachineType type, int taskSlots) {
+    return new Resources(type.cores(), type.gpus(), type.memoryGb(), taskSlots);
   }
 
   /**
--- a/src/main/java/dev/windbend/shard/ShardLeader.java
+++ b/src/main/java/dev/windbend/shard/ShardLeader.java
@@ -79,6 +79,12 @@
     return services.fleet.machines().size();
   }
 
+  /** The number of machines that get no more tasks because their heartbeat can list no more. */
+  public int machinesAtTaskLimit() {
+    return (int)
+        services.fleet.machines().stream().filter(machine -> machine.freeTaskSlots() <= 0).count();
+  }
+
   /** The status of each monitored zone; empty if zone monitoring is disabled. */
   public List<ZoneStatus> zoneStatuses() {
     return services.zones.status();
--- a/src/main/java/dev/windbend/shard/ShardStatusLog.java
+++ b/src/main/java/dev/windbend/shard/ShardStatusLog.java
@@ -89,15 +89,18 @@
     int up = 0;
     int booting = 0;
     int unavailable = 0;
+    int atTaskLimit = 0;
     for (Machine machine : state.fleet().machines()) {
       boolean heartbeatReceived = machine.lastHeartbeatMs() >= 0;
       up += machine.usable(nowMs) ? 1 : 0;
       booting += heartbeatReceived ? 0 : 1;
       unavailable += heartbeatReceived && !machine.usable(nowMs) ? 1 : 0;
+      atTaskLimit += machine.freeTaskSlots() <= 0 ? 1 : 0;
     }
     LOG.info(
         "shard status: shard={} jobs={} waiting_cores={} placed_cores={} machines_up={}"
-            + " machines_booting={} machines_unavailable={} cycle_ms={} pages={}",
+            + " machines_booting={} machines_unavailable={} machines_at_task_limit={} cycle_ms={}"
+            + " pages={}",
         state.shard(),
         state.jobs().all().size(),
         Math.round(waitingCores),
@@ -105,6 +108,7 @@
         up,
         booting,
         unavailable,
+        atTaskLimit,
         scheduling.lastCycleDurationMs(),
         pages.pagesInUse());
   }
--- a/src/main/java/dev/windbend/worker/HeartbeatHandler.java
+++ b/src/main/java/dev/windbend/worker/HeartbeatHandler.java
@@ -279,6 +279,7 @@
     return !machine.cordoned()
         && !machine.terminating()
         && machine.recorded()
+        && machine.freeTaskSlots() > 0
         && machine.freeCores() >= 1;
   }
 
@@ -330,7 +331,8 @@
     HeldHeartbeat held = heldHeartbeats.release(machine);
     if (held != null) {
       respond(held);
-    } else {
+    } else if (machine.freeTaskSlots() >= 0) {
+      // Otherwise StopLimit divides the stops among the responses to the next heartbeats.
       directStops.send(machine, machine.token(token), stops);
     }
   }
--- a/src/main/java/dev/windbend/worker/TaskReconciler.java
+++ b/src/main/java/dev/windbend/worker/TaskReconciler.java
@@ -91,6 +91,17 @@
         removePlacement(machine, placement, nowMs);
       }
     }
+    machine.setUnplacedTasks(countUnplacedTasks(machine, heartbeat));
+  }
+
+  /** Counts the reported tasks that are not placed on the machine; most of them have exited. */
+  private static int countUnplacedTasks(Machine machine, Heartbeat heartbeat) {
+    int count = 0;
+    for (TaskState reported : heartbeat.tasks()) {
+      Placement placement = machine.tasks().get(reported.task());
+      count += placement == null || placement.attempt() != reported.attempt() ? 1 : 0;
+    }
+    return count;
   }
 
   private void recordReportedState(
@@ -200,7 +211,7 @@
    * acknowledgements of exits, each in the order of the heartbeat's task list.
    */
   List<Command> commandsWithoutStarts(Machine machine, Heartbeat heartbeat) {
-    List<Command> commands = new ArrayList<>();
+    List<Command> stops = new ArrayList<>();
     List<Command> acknowledgements = new ArrayList<>();
     for (TaskState reported : heartbeat.tasks()) {
       if (reported.exited()) {
@@ -208,9 +219,10 @@
           acknowledgements.add(Command.acknowledgeExit(reported.task(), reported.attempt()));
         }
       } else {
-        addStop(machine, reported, commands);
+        addStop(machine, reported, stops);
       }
     }
+    List<Command> commands = new ArrayList<>(StopLimit.limit(stops, heartbeat));
     commands.addAll(acknowledgements);
     return commands;
   }
@@ -257,7 +269,7 @@
         stops.add(Command.stop(reported.task(), reported.attempt(), 0));
       }
     }
-    return stops;
+    return StopLimit.limit(stops, heartbeat);
   }
 
   /**
--- a/src/test/java/dev/windbend/daemon/InvariantChecker.java
+++ b/src/test/java/dev/windbend/daemon/InvariantChecker.java
@@ -1,5 +1,7 @@
 package dev.windbend.daemon;
 
+import dev.windbend.runtime.ClientResponse;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -25,6 +27,9 @@
    */
   static final long MAX_START_IN_FLIGHT_MS = 4_300;
 
+  /** Maximum size of a request body and of a line in a response, in bytes. */
+  static final int MAX_MESSAGE_BYTES = 65_536;
+
   private static final double MACHINE_CORES = SimulatedCluster.MACHINE_CORES;
 
   /** Each as "TIME_MS KIND: DETAILS". */
@@ -50,6 +55,31 @@
     violations.add(cluster.time.nowMs() + " " + violation);
   }
 
+  /** Checks the body of a request; false if it is too large, so that its receiver rejects it. */
+  boolean checkRequestSize(String from, String path, byte[] body) {
+    if (body == null || body.length <= MAX_MESSAGE_BYTES) {
+      return true;
+    }
+    addViolation("oversized: request of " + body.length + " bytes from " + from + " to " + path);
+    return false;
+  }
+
+  /** Checks the lines of a response to a worker or a user. */
+  void checkResponseSize(String to, String path, ClientResponse response) {
+    boolean toWorkerOrUser = path.equals("/hello") || to.equals("users");
+    if (toWorkerOrUser && isLineOversized(response)) {
+      addViolation(
+          "oversized: line of " + response.body().length + " bytes to " + to + " from " + path);
+    }
+  }
+
+  /** Whether a worker drops the response, because one of its lines is too long. */
+  static boolean isLineOversized(ClientResponse response) {
+    String body = new String(response.body(), StandardCharsets.ISO_8859_1);
+    return body.length() > MAX_MESSAGE_BYTES
+        && body.lines().anyMatch(line -> line.length() > MAX_MESSAGE_BYTES);
+  }
+
   /** Adds a task that already ran when the simulation began. */
   void addRunningTask(String task, FakeWorker worker) {
     if (!machinesByTask.computeIfAbsent(task, k -> new HashSet<>()).add(worker)
--- a/src/test/java/dev/windbend/daemon/OuterSurfaceTest.java
+++ b/src/test/java/dev/windbend/daemon/OuterSurfaceTest.java
@@ -220,6 +220,7 @@
             "windbend.answers.200.count",
             "windbend.answers.404.count",
             "windbend.jobs.live.value",
+            "windbend.machines.at.task.limit.value",
             "windbend.machines.value",
             "windbend.shards.value",
             "windbend.store.failing.ms.value",
@@ -234,6 +235,7 @@
     assertThat(metricNames(cluster))
         .containsExactly(
             "windbend.jobs.live.value",
+            "windbend.machines.at.task.limit.value",
             "windbend.machines.value",
             "windbend.shards.value",
             "windbend.store.failing.ms.value",
--- a/src/test/java/dev/windbend/daemon/SimulatedCluster.java
+++ b/src/test/java/dev/windbend/daemon/SimulatedCluster.java
@@ -308,6 +308,7 @@
             return;
           }
           completed[0] = true;
+          invariantChecker.checkResponseSize(from, path, response);
           if (senderLoop == null) {
             onResponse.accept(response);
           } else {
@@ -315,6 +316,10 @@
           }
         };
     time.schedule(timeoutMs, () -> completeOnce.accept(ClientResponse.NO_RESPONSE));
+    if (!invariantChecker.checkRequestSize(from, path, body)) {
+      time.schedule(1, () -> completeOnce.accept(new ClientResponse(413, new byte[0])));
+      return;
+    }
     String receiver = hostOf(address);
     if (refusedLinks.contains(from + ">" + receiver)) {
       time.schedule(1, () -> completeOnce.accept(ClientResponse.NO_RESPONSE));
