--- a/src/main/java/dev/windbend/job/Job.java
+++ b/src/main/java/dev/windbend/job/Job.java
@@ -3,16 +3,12 @@
 import dev.windbend.runtime.Json;
 import dev.windbend.store.PageEntry;
 import dev.windbend.store.PendingWrite;
-import dev.windbend.store.TransactionBuilder;
 import dev.windbend.store.VersionedValue;
-import it.unimi.dsi.fastutil.ints.Int2LongOpenHashMap;
 import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.Collection;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 
 /**
  * A live job in the memory of its shard's leader. It tracks the state of each task and provides the
@@ -20,12 +16,6 @@
  * record.
  */
 public final class Job {
-  /** Number of tasks whose completion is stored in one page entry. */
-  static final int TASKS_PER_COMPLETION_ENTRY = 8_192;
-
-  /** Completed tasks are collected for at most this time before their entry is written. */
-  private static final long MAX_COMPLETION_WRITE_DELAY_MS = 1_500;
-
   /**
    * Number of low bits of an attempt that hold the scheduling cycle; the high bits hold the token.
    */
@@ -37,24 +27,13 @@
   private final int teamIndex;
   private boolean cancelled;
   private long recordVersion;
-  private final CompletionEntry[] completionEntries;
-  private final List<PageEntry> pageEntries;
-  private final ArchiveWrite archiveWrite = new ArchiveWrite();
-  private final BitSet completedTasks = new BitSet();
+  private final TaskCompletions completions;
+  private final ArchiveWrite archiveWrite = new ArchiveWrite(this);
+  private final JobBackoff backoff = new JobBackoff();
   private final BitSet waitingTasks = new BitSet();
-  private int completedCount;
   private int waitingTaskCount;
   private final Int2ObjectOpenHashMap<Placement> placementByTask = new Int2ObjectOpenHashMap<>();
 
-  /**
-   * Completed tasks whose completion is not stored yet, each with a change count of its {@link
-   * CompletionEntry}. The completion is stored once that many changes of the entry are stored.
-   */
-  private final Int2LongOpenHashMap unrecordedCompletions = new Int2LongOpenHashMap();
-
-  /** Confirmed terminated placements of the tasks in {@link #unrecordedCompletions}, by task. */
-  private final Int2ObjectOpenHashMap<Placement> exitedPlacements = new Int2ObjectOpenHashMap<>();
-
   /** Placement batches that were not handed out for writing yet. */
   private final List<PlacementBatch> newBatches = new ArrayList<>();
 
@@ -64,18 +43,12 @@
   private boolean archived;
   private boolean started;
 
-  /** Time before which no task is placed (monotonic clock); 0 if there is none. */
-  private long notBeforeMs;
-
   /**
    * Time at which a task was last placed or completed, or at which this leader restored the job
    * (monotonic clock).
    */
   private long lastProgressMs;
 
-  private int backOffCount;
-  private final Set<String> failedMachines = new HashSet<>();
-
   /**
    * Creates a job whose tasks are all waiting.
    *
@@ -91,13 +64,7 @@
     this.cancelled = record.cancelled();
     this.recordVersion = recordVersion;
     this.teamIndex = teamIndex;
-    this.completionEntries =
-        new CompletionEntry
-            [(spec.tasks() + TASKS_PER_COMPLETION_ENTRY - 1) / TASKS_PER_COMPLETION_ENTRY];
-    for (int i = 0; i < completionEntries.length; i++) {
-      completionEntries[i] = new CompletionEntry(i);
-    }
-    this.pageEntries = List.of(completionEntries);
+    this.completions = new TaskCompletions(this);
     waitingTasks.set(0, spec.tasks());
     waitingTaskCount = spec.tasks();
   }
@@ -130,51 +97,9 @@
     return cancelled;
   }
 
-  /**
-   * Returns the time before which no task is placed, in milliseconds of the monotonic clock; 0 if
-   * there is none.
-   */
-  public long notBeforeMs() {
-    return notBeforeMs;
-  }
-
-  /** Returns how often the job was backed off because its tasks failed on several machines. */
-  public int backOffCount() {
-    return backOffCount;
-  }
-
-  /** Returns the names of the machines on which the job's tasks failed since its last back-off. */
-  public Iterable<String> failedMachines() {
-    return failedMachines;
-  }
-
-  /** Returns on how many machines the job's tasks failed since its last back-off. */
-  public int failedMachineCount() {
-    return failedMachines.size();
-  }
-
-  /** Records that a task of the job failed on the machine, which is avoided from now on. */
-  public void recordFailedMachine(String machineName) {
-    failedMachines.add(machineName);
-  }
-
-  /** Clears the failed machines, so that none of them is avoided any more. */
-  public void clearFailedMachines() {
-    failedMachines.clear();
-  }
-
-  /** Defers the placement of tasks until the given time (monotonic clock, milliseconds). */
-  public void deferUntil(long untilMs) {
-    notBeforeMs = untilMs;
-  }
-
-  /**
-   * Defers the placement of tasks until the given time (monotonic clock, milliseconds) because
-   * tasks failed on several machines, and counts the back-off.
-   */
-  public void backOffUntil(long untilMs) {
-    backOffCount++;
-    notBeforeMs = untilMs;
+  /** Returns the failures of the job's tasks, and how long their placement is deferred. */
+  public JobBackoff backoff() {
+    return backoff;
   }
 
   private void setWaiting(int task, boolean isWaiting) {
@@ -184,26 +109,9 @@
     }
   }
 
-  private void markCompleted(int task) {
-    if (!completedTasks.get(task)) {
-      completedTasks.set(task);
-      completedCount++;
-    }
-    setWaiting(task, false);
-  }
-
   /** Marks the tasks as completed that a stored entry lists as completed. */
   void restoreCompletedTasks(PageEntry entry, JobRecord.CompletedTasks record) {
-    int firstTask = ((CompletionEntry) entry).index * TASKS_PER_COMPLETION_ENTRY;
-    BitSet completed =
-        BitSet.valueOf(record.completed() == null ? new byte[0] : record.completed());
-    for (int offset = completed.nextSetBit(0);
-        offset >= 0;
-        offset = completed.nextSetBit(offset + 1)) {
-      if (firstTask + offset < spec.tasks()) {
-        markCompleted(firstTask + offset);
-      }
-    }
+    completions.restore(entry, record).stream().forEach(task -> setWaiting(task, false));
   }
 
   /**
@@ -223,7 +131,7 @@
       for (int offset = 0; offset < record.taskCount(run); offset++) {
         int task = record.firstTask(run) + offset;
         Placement previous = placementByTask.get(task);
-        if (completedTasks.get(task)
+        if (completions.contains(task)
             || (previous != null && previous.attempt() >= record.attempt())) {
           continue;
         }
@@ -254,7 +162,7 @@
 
   /** Returns the page entries that store which tasks are completed. */
   List<PageEntry> pageEntries() {
-    return pageEntries;
+    return completions.pageEntries();
   }
 
   /** Returns the placement batches created since the last call; they are to be written. */
@@ -274,8 +182,7 @@
    * terminated, or the completion of its task is not stored yet.
    */
   boolean needsRecord(Placement placement) {
-    return placementByTask.get(placement.task()) == placement
-        || exitedPlacements.get(placement.task()) == placement;
+    return placementByTask.get(placement.task()) == placement || completions.needsRecord(placement);
   }
 
   /** Returns how many tasks are waiting to be placed; 0 if the job is cancelled. */
@@ -290,7 +197,7 @@
 
   /** Returns how many tasks are completed. */
   public int completedCount() {
-    return completedCount;
+    return completions.count();
   }
 
   /** Returns a live view of the placements that are not confirmed terminated. */
@@ -305,12 +212,12 @@
 
   /** Returns whether the task is completed, even if this is not stored yet. */
   public boolean isCompleted(int task) {
-    return completedTasks.get(task);
+    return completions.contains(task);
   }
 
   /** Returns whether all tasks are completed. */
   public boolean allCompleted() {
-    return completedCount == spec.tasks();
+    return completions.count() == spec.tasks();
   }
 
   /**
@@ -375,24 +282,19 @@
     if (!placementByTask.remove(placement.task(), placement)) {
       return;
     }
-    if (!completedTasks.get(placement.task())) {
+    if (completions.contains(placement.task())) {
+      completions.releaseWhenRecorded(placement);
+    } else {
       setWaiting(placement.task(), true);
       placement.batch.releasePlacement();
-    } else if (completionRecorded(placement.task())) {
-      placement.batch.releasePlacement();
-    } else {
-      exitedPlacements.put(placement.task(), placement);
     }
   }
 
   /** Marks the task as completed; has no effect if it already is. */
   public void complete(int task, long nowMs) {
-    if (!completedTasks.get(task)) {
-      markCompleted(task);
+    if (completions.add(task, nowMs)) {
+      setWaiting(task, false);
       lastProgressMs = nowMs;
-      CompletionEntry entry = completionEntries[task / TASKS_PER_COMPLETION_ENTRY];
-      entry.recordChange(nowMs);
-      unrecordedCompletions.put(task, entry.changeCount);
     }
   }
 
@@ -401,7 +303,7 @@
    * any longer.
    */
   public boolean completionRecorded(int task) {
-    return archived || (completedTasks.get(task) && !unrecordedCompletions.containsKey(task));
+    return archived || completions.isRecorded(task);
   }
 
   /** Returns the write that replaces the live record by the final record. */
@@ -411,7 +313,7 @@
 
   /** Returns whether any task has been placed or completed. */
   public boolean started() {
-    return started || !placementByTask.isEmpty() || completedCount > 0;
+    return started || !placementByTask.isEmpty() || completions.count() > 0;
   }
 
   /**
@@ -437,101 +339,9 @@
     placementByTask.values().forEach(p -> p.requestStop(0));
   }
 
-  /** Stores which tasks of one index range are completed, as a page entry. */
-  private final class CompletionEntry implements PageEntry {
-    private final int index;
-    private long changeCount;
-    private long writtenChangeCount;
-    private long changeCountInFlight = -1;
-    private long dirtySinceMs;
-    private boolean retryNow;
-
-    CompletionEntry(int index) {
-      this.index = index;
-    }
-
-    void recordChange(long nowMs) {
-      if (changeCount == writtenChangeCount) {
-        dirtySinceMs = nowMs;
-      }
-      changeCount++;
-    }
-
-    @Override
-    public String id() {
-      return spec.uid() + "/" + index;
-    }
-
-    @Override
-    public boolean dirty() {
-      return changeCountInFlight < 0
-          && changeCount > writtenChangeCount
-          && !Job.this.finished()
-          && !archived;
-    }
-
-    @Override
-    public boolean urgent(long nowMs) {
-      return retryNow || nowMs - dirtySinceMs >= MAX_COMPLETION_WRITE_DELAY_MS;
-    }
-
-    @Override
-    public boolean obsolete() {
-      return archived;
-    }
-
-    @Override
-    public Object snapshot() {
-      int firstTask = index * TASKS_PER_COMPLETION_ENTRY;
-      return new JobRecord.CompletedTasks(
-          completedTasks
-              .get(firstTask, Math.min(spec.tasks(), firstTask + TASKS_PER_COMPLETION_ENTRY))
-              .toByteArray());
-    }
-
-    @Override
-    public void beginWrite(TransactionBuilder transaction) {
-      changeCountInFlight = changeCount;
-      retryNow = false;
-    }
-
-    @Override
-    public void onApplied() {
-      writtenChangeCount = changeCountInFlight;
-      changeCountInFlight = -1;
-      unrecordedCompletions
-          .int2LongEntrySet()
-          .removeIf(
-              completion -> {
-                int task = completion.getIntKey();
-                boolean recorded =
-                    task / TASKS_PER_COMPLETION_ENTRY == index
-                        && completion.getLongValue() <= writtenChangeCount;
-                if (recorded) {
-                  Placement exited = exitedPlacements.remove(task);
-                  if (exited != null) {
-                    exited.batch.releasePlacement();
-                  }
-                }
-                return recorded;
-              });
-    }
-
-    @Override
-    public void onNotApplied() {
-      changeCountInFlight = -1;
-      retryNow = true;
-    }
-
-    @Override
-    public boolean dependsOn(String key) {
-      return false;
-    }
-
-    @Override
-    public void onConflict(VersionedValue stored) {
-      // The entry adds no condition.
-    }
+  /** Records that the live record was replaced by the final record. */
+  void markArchived() {
+    archived = true;
   }
 
   /**
@@ -549,58 +359,4 @@
       onRecordChange(record, stored.version());
     }
   }
-
-  /**
-   * Replaces the live record by the final record. The write is conditional on the known version of
-   * the live record, so that it is applied at most once.
-   */
-  private final class ArchiveWrite implements PendingWrite {
-    private boolean inFlight;
-
-    @Override
-    public boolean dirty() {
-      return !inFlight && !archived && finished();
-    }
-
-    @Override
-    public boolean urgent(long nowMs) {
-      return true;
-    }
-
-    @Override
-    public int writeCount() {
-      return 2;
-    }
-
-    @Override
-    public void addTo(TransactionBuilder transaction) {
-      inFlight = true;
-      transaction.ifVersion(recordKey, recordVersion);
-      transaction.delete(recordKey);
-      transaction.put(
-          JobRecord.ENDED_PREFIX + spec.uid(),
-          new JobRecord.Ended(cancelled ? JobStatus.CANCELLED : JobStatus.DONE, completedCount()));
-    }
-
-    @Override
-    public void onApplied(long revision) {
-      inFlight = false;
-      archived = true;
-    }
-
-    @Override
-    public void onNotApplied() {
-      inFlight = false;
-    }
-
-    @Override
-    public boolean dependsOn(String key) {
-      return key.equals(recordKey);
-    }
-
-    @Override
-    public void onConflict(String key, VersionedValue stored) {
-      Job.this.applyStoredRecord(stored);
-    }
-  }
 }
--- a/src/main/java/dev/windbend/shard/OldestWaitingJob.java
+++ b/src/main/java/dev/windbend/shard/OldestWaitingJob.java
@@ -38,7 +38,7 @@
     WaitReason reason =
         reason(
             unreachableZone(oldest, state),
-            oldest.notBeforeMs() - nowMs,
+            oldest.backoff().notBeforeMs() - nowMs,
             exhaustedQuota(oldest, state, deployment),
             Capacity.of(state.fleet(), starvedJobs.nextTaskRequirements(oldest), nowMs));
     return Optional.of(new OldestWaitingJob(oldest.spec().uid(), ageSeconds, reason));
--- a/src/main/java/dev/windbend/shard/PendingJobBuilder.java
+++ b/src/main/java/dev/windbend/shard/PendingJobBuilder.java
@@ -63,7 +63,7 @@
         job.spec().together(),
         job.spec().spread(),
         job.spec().spot(),
-        job.notBeforeMs(),
+        job.backoff().notBeforeMs(),
         avoidedMachines(job, machineIndexByName));
   }
 
@@ -107,7 +107,7 @@
   private static IntOpenHashSet avoidedMachines(
       Job job, Object2IntOpenHashMap<String> machineIndexByName) {
     IntOpenHashSet avoided = new IntOpenHashSet();
-    for (String machine : job.failedMachines()) {
+    for (String machine : job.backoff().failedMachines()) {
       if (machineIndexByName.containsKey(machine)) {
         avoided.add(machineIndexByName.getInt(machine));
       }
--- a/src/main/java/dev/windbend/shard/StarvedJobs.java
+++ b/src/main/java/dev/windbend/shard/StarvedJobs.java
@@ -33,7 +33,7 @@
   /** Whether the job has waiting tasks that may start now and has made no progress for too long. */
   static boolean isStarved(Job job, long nowMs) {
     return job.waitingCount() > 0
-        && job.notBeforeMs() <= nowMs
+        && job.backoff().notBeforeMs() <= nowMs
         && job.timeSinceProgressMs(nowMs) >= STARVED_AFTER_MS;
   }
 
@@ -76,7 +76,7 @@
    * most likely submitted with an error, so no machine is evicted for it.
    */
   private static boolean failsOnAllMachines(Job job) {
-    return job.backOffCount() > 0 && job.completedCount() == 0;
+    return job.backoff().count() > 0 && job.completedCount() == 0;
   }
 
   private boolean anyMachineHasCapacity(TaskRequirements task, long nowMs) {
--- a/src/main/java/dev/windbend/shard/TaskFailures.java
+++ b/src/main/java/dev/windbend/shard/TaskFailures.java
@@ -49,12 +49,12 @@
     Job job = placement.job();
     LOG.info(
         "task failed: shard={} machine={} task={}", shard, machine.name(), placement.taskName());
-    job.recordFailedMachine(machine.name());
+    job.backoff().recordFailedMachine(machine.name());
     machine.recordFailedJob(job.spec().uid());
     if (machine.countFailedJobs(this::countsAgainstMachines) >= FAILED_JOBS_FOR_QUARANTINE) {
       quarantine(machine);
     }
-    if (job.failedMachineCount() >= FAILED_MACHINES_FOR_BACKOFF) {
+    if (job.backoff().failedMachineCount() >= FAILED_MACHINES_FOR_BACKOFF) {
       backOff(job);
     }
   }
@@ -83,9 +83,11 @@
 
   /** Delays the job, and no longer counts its failures against machines. */
   private void backOff(Job job) {
-    job.backOffUntil(
-        loop.nowMs() + (INITIAL_BACKOFF_MS << Math.min(job.backOffCount(), MAX_BACKOFF_DOUBLINGS)));
+    job.backoff()
+        .backOffUntil(
+            loop.nowMs()
+                + (INITIAL_BACKOFF_MS << Math.min(job.backoff().count(), MAX_BACKOFF_DOUBLINGS)));
     fleet.machines().forEach(machine -> machine.forgetFailedJob(job.spec().uid()));
-    job.clearFailedMachines();
+    job.backoff().clearFailedMachines();
   }
 }
--- a/src/main/java/dev/windbend/worker/TaskReconciler.java
+++ b/src/main/java/dev/windbend/worker/TaskReconciler.java
@@ -131,7 +131,7 @@
       case FAILED -> events.taskFailed(placement, machine);
       case INSUFFICIENT_RESOURCES, OTHER_ATTEMPT_PRESENT ->
           machine.refuseStartsUntil(nowMs + START_REFUSED_BACKOFF_MS);
-      case UNKNOWN_JOB -> placement.job().deferUntil(nowMs + JOB_UNKNOWN_BACKOFF_MS);
+      case UNKNOWN_JOB -> placement.job().backoff().deferUntil(nowMs + JOB_UNKNOWN_BACKOFF_MS);
       case STOPPED -> {
         // Removing the placement makes the task pending again.
       }
--- a/src/test/java/dev/windbend/machine/TestMachines.java
+++ b/src/test/java/dev/windbend/machine/TestFleet.java
@@ -8,17 +8,20 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 
-/** Creates machines of 8 cores and 64 GB that a stored record assigns to the shard. */
-public final class TestMachines {
+/**
+ * Creates fleets of shard 0, led under token 7, whose only machine type "t" has 8 cores and 8 GB.
+ * No change of a record is written.
+ */
+public final class TestFleet {
+  private static final long TOKEN = 7;
   private static final String TYPES =
-      "{\"rigs\":[{\"label\":\"t\",\"cores\":8,\"cards\":0,\"ram_gb\":64,\"cache_gb\":9,"
+      "{\"rigs\":[{\"label\":\"t\",\"cores\":8,\"cards\":0,\"ram_gb\":8,\"cache_gb\":9,"
           + "\"pull_gb_per_s\":1,\"rate\":1,\"low_price\":0.5,\"ready_s\":5,\"yards\":[\"a\"]}]}";
 
-  private TestMachines() {}
+  private TestFleet() {}
 
-  /** Creates a machine without tasks that has sent no heartbeat. */
-  public static Machine create(String name) {
-    ManualEventLoop loop = new ManualEventLoop(1_000);
+  /** Creates a fleet without machines. */
+  public static Fleet create(ManualEventLoop loop) {
     CloudClient cloud =
         new CloudClient(
             loop,
@@ -29,13 +32,18 @@
             1);
     MachineTypeCatalog catalog = new MachineTypeCatalog(loop, cloud, List.of("a"));
     catalog.start();
-    Fleet fleet = new Fleet(loop, cloud, catalog, 0, 7, new IgnoringListener());
-    ScaleOutRecord record = new ScaleOutRecord("t", "a", true, 1, List.of(name), null);
+    return new Fleet(loop, cloud, catalog, 0, TOKEN, new IgnoringListener());
+  }
+
+  /** Creates a fleet with machines that a stored record names; none has sent a heartbeat. */
+  public static Fleet withMachines(ManualEventLoop loop, List<String> names) {
+    Fleet fleet = create(loop);
+    ScaleOutRecord record = new ScaleOutRecord("t", "a", true, names.size(), names, null);
     MachineIndex machineIndex = new MachineIndex();
     machineIndex.recordChanged(
         ScaleOutRecord.shardPrefix(0) + "h", new VersionedValue(Json.tree(record), 5));
     fleet.restore("h", record, 5, machineIndex, false);
-    return fleet.find(name);
+    return fleet;
   }
 
   private static final class IgnoringListener implements Fleet.Listener {
--- a/src/test/java/dev/windbend/shard/MachineTransfersTest.java
+++ b/src/test/java/dev/windbend/shard/MachineTransfersTest.java
@@ -2,21 +2,16 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import dev.windbend.machine.CloudClient;
 import dev.windbend.machine.Fleet;
 import dev.windbend.machine.Machine;
 import dev.windbend.machine.MachineIndex;
 import dev.windbend.machine.MachineMessages.TaskRequirements;
-import dev.windbend.machine.MachineTypeCatalog;
 import dev.windbend.machine.ScaleOutRecord;
+import dev.windbend.machine.TestFleet;
 import dev.windbend.peer.MachineTransferMessages;
-import dev.windbend.runtime.ClientResponse;
-import dev.windbend.runtime.HttpClient;
 import dev.windbend.runtime.Json;
 import dev.windbend.runtime.ManualEventLoop;
-import dev.windbend.store.PendingWrite;
 import dev.windbend.store.VersionedValue;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
@@ -29,52 +24,18 @@
  * none of which it offers as idle.
  */
 class MachineTransfersTest {
-  private static final String TYPES =
-      "{\"rigs\":[{\"label\":\"t\",\"cores\":8,\"cards\":0,\"ram_gb\":8,\"cache_gb\":9,"
-          + "\"pull_gb_per_s\":1,\"rate\":1,\"low_price\":0.5,\"ready_s\":5,\"yards\":[\"a\"]}]}";
-
   private final ManualEventLoop loop = new ManualEventLoop(1_000);
 
-  private final Fleet.Listener listener =
-      new Fleet.Listener() {
-        @Override
-        public void recordChanged(PendingWrite record) {}
-
-        @Override
-        public void machineTerminated(Machine machine) {}
-
-        @Override
-        public void fleetChanged() {}
-
-        @Override
-        public boolean mayAct() {
-          return true;
-        }
-      };
-
-  private CloudClient cloud;
-  private MachineTypeCatalog catalog;
   private Fleet fleet;
   private MachineTransfers transfers;
 
   @BeforeEach
   void createFleetOfTenMachines() {
-    HttpClient httpClient =
-        (address, method, path, body, limitMs, done) ->
-            done.accept(new ClientResponse(200, TYPES.getBytes(StandardCharsets.UTF_8)));
-    cloud = new CloudClient(loop, httpClient, "cloud:1", 10, 1);
-    catalog = new MachineTypeCatalog(loop, cloud, List.of("a"));
-    catalog.start();
-    fleet = new Fleet(loop, cloud, catalog, 0, 7, listener);
     List<String> names = new ArrayList<>();
     for (int i = 0; i < 10; i++) {
       names.add("m" + i);
     }
-    ScaleOutRecord scaleOut = new ScaleOutRecord("t", "a", true, 10, names, null);
-    MachineIndex machineIndex = new MachineIndex();
-    String key = ScaleOutRecord.shardPrefix(0) + "h";
-    machineIndex.recordChanged(key, new VersionedValue(Json.tree(scaleOut), 5));
-    fleet.restore("h", scaleOut, 5, machineIndex, false);
+    fleet = TestFleet.withMachines(loop, names);
     fleet.machines().forEach(MachineTransfersTest::confirmUnderToken);
     transfers = new MachineTransfers(0, loop, fleet, 40, (shard, request, done) -> {});
   }
@@ -160,7 +121,7 @@
     MachineIndex machineIndex = new MachineIndex();
     String key = ScaleOutRecord.shardPrefix(0) + "g";
     machineIndex.recordChanged(key, new VersionedValue(Json.tree(record), 6));
-    Fleet fleetWithReceivedMachine = new Fleet(loop, cloud, catalog, 0, 7, listener);
+    Fleet fleetWithReceivedMachine = TestFleet.create(loop);
     fleetWithReceivedMachine.restore("g", record, 6, machineIndex, false);
     fleetWithReceivedMachine.machines().forEach(MachineTransfersTest::confirmUnderToken);
     transfers =
--- a/src/test/java/dev/windbend/worker/HeartbeatResponseBuilderTest.java
+++ b/src/test/java/dev/windbend/worker/HeartbeatResponseBuilderTest.java
@@ -7,8 +7,9 @@
 import dev.windbend.job.TestJobs;
 import dev.windbend.job.Urgency;
 import dev.windbend.machine.Machine;
-import dev.windbend.machine.TestMachines;
+import dev.windbend.machine.TestFleet;
 import dev.windbend.runtime.Json;
+import dev.windbend.runtime.ManualEventLoop;
 import dev.windbend.runtime.ServerResponse;
 import dev.windbend.worker.WorkerMessages.Command;
 import dev.windbend.worker.WorkerMessages.Heartbeat;
@@ -34,7 +35,9 @@
 
   private static final long ATTEMPT = 5L << 32;
 
-  private final Machine machine = TestMachines.create("host-000001");
+  private final Machine machine =
+      TestFleet.withMachines(new ManualEventLoop(1_000), List.of("host-000001"))
+          .find("host-000001");
   private final Job job = TestJobs.createArray(1, Urgency.STANDARD, TASKS);
   private long sequence;
   private boolean mayAct = true;
