Small tasks leave a quarter of a machine's task slots to larger ones

On the only machine an array of 600 tiny tasks took all 512 slots, and a task of one core waited 79.0 s beside free cores, as long as the tiny ones ran. A tiny task of a higher priority could not displace one of a lower, as a stopped task keeps its slot until its exit is acknowledged. Cause: one limit for tasks of every size. Change: tasks of less than a core, without a GPU, take at most 384 slots of a machine (HeartbeatTaskLimit.MAX_SMALL_TASKS). The 128 others are more than the tasks of a core that a machine of 128 cores runs. Resources counts the small ones apart; preemption frees such a slot at once, since the slots kept back cover exits under way.

--- a/src/main/java/dev/windbend/machine/HeartbeatTaskLimit.java
+++ b/src/main/java/dev/windbend/machine/HeartbeatTaskLimit.java
@@ -1,5 +1,6 @@
 package dev.windbend.machine;
 
+import dev.windbend.job.JobSpec;
 import dev.windbend.runtime.MessageLimits;
 
 /**
@@ -20,5 +21,24 @@
   public static final int MAX_TASKS =
       (MessageLimits.MAX_REQUEST_BYTES - HEADER_BYTES) / LONGEST_TASK_STATE.length();
 
+  /**
+   * Maximum number of small tasks on a machine. The other slots are kept for larger tasks, so that
+   * an array of small tasks does not keep them from cores that are free.
+   */
+  public static final int MAX_SMALL_TASKS = MAX_TASKS * 3 / 4;
+
+  /** A task that needs less, and no GPU, is a small one. */
+  private static final double SMALL_TASK_CORES = 1;
+
   private HeartbeatTaskLimit() {}
+
+  /** Whether a task with these needs is a small one. */
+  public static boolean isSmall(double cores, double gpus) {
+    return cores < SMALL_TASK_CORES && gpus == 0;
+  }
+
+  /** Whether the tasks of a job are small ones. */
+  public static boolean isSmall(JobSpec spec) {
+    return isSmall(spec.cores(), spec.gpus());
+  }
 }
--- a/src/main/java/dev/windbend/machine/Machine.java
+++ b/src/main/java/dev/windbend/machine/Machine.java
@@ -292,6 +292,13 @@
     return tasks.freeTaskSlots();
   }
 
+  /**
+   * Whether it gets no more tasks, or no more small ones, because of {@link HeartbeatTaskLimit}.
+   */
+  public boolean atTaskLimit() {
+    return tasks.freeTaskSlots() <= 0 || tasks.freeSmallTaskSlots() <= 0;
+  }
+
   /**
    * Sets how many tasks the worker's newest heartbeat lists that are not placed on the machine:
    * most of them have exited, and their exit is not acknowledged yet.
--- a/src/main/java/dev/windbend/machine/MachineTasks.java
+++ b/src/main/java/dev/windbend/machine/MachineTasks.java
@@ -61,6 +61,7 @@
       freeMemoryGb -= placement.job().spec().memoryGb();
     }
     return freeTaskSlots() > 0
+        && (!HeartbeatTaskLimit.isSmall(cores, gpus) || freeSmallTaskSlots() > 0)
         && freeCores >= cores
         && freeGpus >= gpus
         && freeMemoryGb >= memoryGb;
@@ -74,6 +75,15 @@
     return HeartbeatTaskLimit.MAX_TASKS - byName.size() - unplacedTasks;
   }
 
+  /** How many more small tasks may be placed; negative like {@link #freeTaskSlots}. */
+  int freeSmallTaskSlots() {
+    int smallTasks = 0;
+    for (Placement placement : byName.values()) {
+      smallTasks += HeartbeatTaskLimit.isSmall(placement.job().spec()) ? 1 : 0;
+    }
+    return HeartbeatTaskLimit.MAX_SMALL_TASKS - smallTasks;
+  }
+
   /** Sets how many tasks the worker's newest heartbeat lists that are not placed on the machine. */
   void setUnplacedTasks(int count) {
     unplacedTasks = count;
--- a/src/main/java/dev/windbend/plan/CycleState.java
+++ b/src/main/java/dev/windbend/plan/CycleState.java
@@ -91,8 +91,8 @@
     Snapshot.Team team = snapshot.teams().get(job.team());
     Resources need = job.requirements().resources();
     return new Resources(
-            team.maxCores() - usedCores[job.team()], team.maxGpus() - usedGpus[job.team()], 0, 0)
-        .timesFits(new Resources(need.cores(), need.gpus(), 0, 0));
+            team.maxCores() - usedCores[job.team()], team.maxGpus() - usedGpus[job.team()], 0, 0, 0)
+        .timesFits(new Resources(need.cores(), need.gpus(), 0, 0, 0));
   }
 
   /**
--- a/src/main/java/dev/windbend/plan/Resources.java
+++ b/src/main/java/dev/windbend/plan/Resources.java
@@ -7,10 +7,12 @@
  * @param gpus GPUs; fractions are allowed
  * @param memoryGb memory in GB
  * @param taskSlots number of tasks; a machine's worker can list only so many in a heartbeat
+ * @param smallTaskSlots number of small tasks, which may not take all task slots of a machine
  */
-public record Resources(double cores, double gpus, double memoryGb, int taskSlots) {
+public record Resources(
+    double cores, double gpus, double memoryGb, int taskSlots, int smallTaskSlots) {
   /** Zero of each resource. */
-  public static final Resources NONE = new Resources(0, 0, 0, 0);
+  public static final Resources NONE = new Resources(0, 0, 0, 0, 0);
 
   /**
    * Amounts that differ by less count as equal, because floating-point sums depend on the order of
@@ -21,9 +23,14 @@
   /** Result of {@link #timesFits} for a need of nothing; more tasks than any job has. */
   private static final double UNLIMITED = 1e9;
 
-  /** Returns the resources that one task needs. */
+  /** Returns the resources that one task needs, which is not a small one. */
   public static Resources ofTask(double cores, double gpus, double memoryGb) {
-    return new Resources(cores, gpus, memoryGb, 1);
+    return new Resources(cores, gpus, memoryGb, 1, 0);
+  }
+
+  /** Returns the resources that one small task needs. */
+  public static Resources ofSmallTask(double cores, double memoryGb) {
+    return new Resources(cores, 0, memoryGb, 1, 1);
   }
 
   /** Returns the sum of both. */
@@ -32,7 +39,8 @@
         cores + other.cores,
         gpus + other.gpus,
         memoryGb + other.memoryGb,
-        taskSlots + other.taskSlots);
+        taskSlots + other.taskSlots,
+        smallTaskSlots + other.smallTaskSlots);
   }
 
   /** Returns this minus the other. */
@@ -41,7 +49,8 @@
         cores - other.cores,
         gpus - other.gpus,
         memoryGb - other.memoryGb,
-        taskSlots - other.taskSlots);
+        taskSlots - other.taskSlots,
+        smallTaskSlots - other.smallTaskSlots);
   }
 
   /** Returns the smaller amount of each resource. */
@@ -50,17 +59,18 @@
         Math.min(cores, other.cores),
         Math.min(gpus, other.gpus),
         Math.min(memoryGb, other.memoryGb),
-        Math.min(taskSlots, other.taskSlots));
+        Math.min(taskSlots, other.taskSlots),
+        Math.min(smallTaskSlots, other.smallTaskSlots));
   }
 
-  /** Returns the same amounts without task slots. */
+  /** Returns the same amounts without task slots; small task slots are kept. */
   public Resources withoutTaskSlots() {
-    return new Resources(cores, gpus, memoryGb, 0);
+    return new Resources(cores, gpus, memoryGb, 0, smallTaskSlots);
   }
 
   /** Returns only the task slots. */
   public Resources onlyTaskSlots() {
-    return new Resources(0, 0, 0, taskSlots);
+    return new Resources(0, 0, 0, taskSlots, 0);
   }
 
   /**
@@ -73,6 +83,10 @@
     times = need.gpus > 0 ? Math.min(times, (gpus + TOLERANCE) / need.gpus) : times;
     times = need.memoryGb > 0 ? Math.min(times, (memoryGb + TOLERANCE) / need.memoryGb) : times;
     times = need.taskSlots > 0 ? Math.min(times, (double) taskSlots / need.taskSlots) : times;
+    times =
+        need.smallTaskSlots > 0
+            ? Math.min(times, (double) smallTaskSlots / need.smallTaskSlots)
+            : times;
     return (int) times;
   }
 
@@ -81,6 +95,7 @@
     return cores + TOLERANCE >= need.cores
         && gpus + TOLERANCE >= need.gpus
         && memoryGb + TOLERANCE >= need.memoryGb
-        && taskSlots >= need.taskSlots;
+        && taskSlots >= need.taskSlots
+        && (need.smallTaskSlots == 0 || smallTaskSlots >= need.smallTaskSlots);
   }
 }
--- a/src/main/java/dev/windbend/shard/CapacityProvisioner.java
+++ b/src/main/java/dev/windbend/shard/CapacityProvisioner.java
@@ -54,8 +54,7 @@
   List<InstanceOffer> offers() {
     List<InstanceOffer> offers = new ArrayList<>();
     for (MachineType type : state.catalog().all()) {
-      Resources capacity =
-          new Resources(type.cores(), type.gpus(), type.memoryGb(), HeartbeatTaskLimit.MAX_TASKS);
+      Resources capacity = MachineCapacityBuilder.resources(type, HeartbeatTaskLimit.MAX_TASKS);
       for (int zone : type.zones()) {
         addOffer(offers, type, capacity, zone, true);
         addOffer(offers, type, capacity, zone, false);
--- a/src/main/java/dev/windbend/shard/MachineCapacityBuilder.java
+++ b/src/main/java/dev/windbend/shard/MachineCapacityBuilder.java
@@ -122,11 +122,15 @@
   }
 
   static Resources resources(Job job) {
-    return Resources.ofTask(job.spec().cores(), job.spec().gpus(), job.spec().memoryGb());
+    return HeartbeatTaskLimit.isSmall(job.spec())
+        ? Resources.ofSmallTask(job.spec().cores(), job.spec().memoryGb())
+        : Resources.ofTask(job.spec().cores(), job.spec().gpus(), job.spec().memoryGb());
   }
 
-  private static Resources resources(MachineType type, int taskSlots) {
-    return new Resources(type.cores(), type.gpus(), type.memoryGb(), taskSlots);
+  /** The resources of a machine of this type without tasks, but for the given task slots. */
+  static Resources resources(MachineType type, int taskSlots) {
+    return new Resources(
+        type.cores(), type.gpus(), type.memoryGb(), taskSlots, HeartbeatTaskLimit.MAX_SMALL_TASKS);
   }
 
   /**
--- a/src/main/java/dev/windbend/shard/ShardLeader.java
+++ b/src/main/java/dev/windbend/shard/ShardLeader.java
@@ -1,5 +1,6 @@
 package dev.windbend.shard;
 
+import dev.windbend.machine.Machine;
 import dev.windbend.peer.MachineTransferMessages;
 import dev.windbend.runtime.ServerResponse;
 import dev.windbend.store.VersionedValue;
@@ -79,10 +80,9 @@
     return services.fleet.machines().size();
   }
 
-  /** The number of machines that get no more tasks because their heartbeat can list no more. */
+  /** The number of machines that get no more tasks, or no more small ones, whatever is free. */
   public int machinesAtTaskLimit() {
-    return (int)
-        services.fleet.machines().stream().filter(machine -> machine.freeTaskSlots() <= 0).count();
+    return (int) services.fleet.machines().stream().filter(Machine::atTaskLimit).count();
   }
 
   /** The status of each monitored zone; empty if zone monitoring is disabled. */
--- a/src/main/java/dev/windbend/shard/ShardStatusLog.java
+++ b/src/main/java/dev/windbend/shard/ShardStatusLog.java
@@ -95,7 +95,7 @@
       up += machine.usable(nowMs) ? 1 : 0;
       booting += heartbeatReceived ? 0 : 1;
       unavailable += heartbeatReceived && !machine.usable(nowMs) ? 1 : 0;
-      atTaskLimit += machine.freeTaskSlots() <= 0 ? 1 : 0;
+      atTaskLimit += machine.atTaskLimit() ? 1 : 0;
     }
     LOG.info(
         "shard status: shard={} jobs={} waiting_cores={} placed_cores={} machines_up={}"
--- a/src/test/java/dev/windbend/daemon/WorkerMessageSizeTest.java
+++ b/src/test/java/dev/windbend/daemon/WorkerMessageSizeTest.java
@@ -65,6 +65,20 @@
     assertThat(cluster.invariantChecker.violations).isEmpty();
   }
 
+  /** Guards against an array of small tasks that keeps a larger task from cores that are free. */
+  @Test
+  void startsLargerTaskBesideHugeArrayOnTheOnlyMachine() {
+    SimulatedCluster cluster = newCluster(1);
+    cluster.cloudCapacity = 1;
+    cluster.taskRunTimeMs = task -> 80_000;
+    SimulatedUser arrayUser = submitTinyTasks(cluster, 1, 600);
+    SimulatedUser largeUser = new SimulatedUser(cluster, 2, "guests", 1, null, true, false);
+    afterFirstStart(cluster, arrayUser, 5_000, largeUser::submit);
+    cluster.time.runUntil(SCENARIO_MS);
+    assertThat(largeUser.firstTaskStartedMs - largeUser.firstSubmittedMs).isBetween(1L, 15_000L);
+    assertThat(cluster.invariantChecker.violations).isEmpty();
+  }
+
   private static Arguments scenario(String name, Consumer<SimulatedCluster> scenario) {
     return Arguments.of(name, scenario);
   }
