--- a/src/main/java/dev/windbend/job/JobHandler.java
+++ b/src/main/java/dev/windbend/job/JobHandler.java
@@ -10,9 +10,9 @@
 import dev.windbend.store.TransactionOutcome;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
+import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.slf4j.Logger;
@@ -40,7 +40,11 @@
   private boolean writeInProgress;
 
   /** An admitted submission that is not stored yet. */
-  private record PendingSubmission(JobRecord.Live record, Consumer<ServerResponse> done) {}
+  private record PendingSubmission(JobRecord.Live record, Consumer<ServerResponse> done) {
+    String uid() {
+      return record.spec().uid();
+    }
+  }
 
   /**
    * Creates a handler.
@@ -158,59 +162,58 @@
     if (writeInProgress || pendingSubmissions.isEmpty()) {
       return;
     }
-    List<PendingSubmission> submissions = new ArrayList<>();
+    List<PendingSubmission> submissions = takeSubmissions();
     TransactionBuilder transaction = new TransactionBuilder();
-    Map<String, Boolean> uidsInTransaction = new LinkedHashMap<>();
-    while (!pendingSubmissions.isEmpty() && submissions.size() < store.maxWritesPerTransaction()) {
-      String uid = pendingSubmissions.peek().record().spec().uid();
-      if (uidsInTransaction.putIfAbsent(uid, true) != null) {
-        break; // repeated submission: the next transaction finds the job stored
-      }
-      PendingSubmission submission = pendingSubmissions.poll();
-      transaction.ifAbsent(JobRecord.LIVE_PREFIX + uid).ifAbsent(JobRecord.ENDED_PREFIX + uid);
-      transaction.put(JobRecord.LIVE_PREFIX + uid, submission.record());
-      submissions.add(submission);
+    for (PendingSubmission submission : submissions) {
+      String liveKey = JobRecord.LIVE_PREFIX + submission.uid();
+      transaction.ifAbsent(liveKey).ifAbsent(JobRecord.ENDED_PREFIX + submission.uid());
+      transaction.put(liveKey, submission.record());
     }
     writeInProgress = true;
     store.commitForUser(
         transaction,
         outcome -> {
           writeInProgress = false;
-          switch (outcome.kind()) {
-            case APPLIED ->
-                submissions.forEach(
-                    submission -> {
-                      LOG.debug("job accepted: job={}", submission.record().spec().uid());
-                      submission
-                          .done()
-                          .accept(
-                              ServerResponse.of(
-                                  HttpStatus.CREATED,
-                                  UserMessages.Status.of(
-                                      submission.record().spec().uid(),
-                                      JobStatus.PENDING,
-                                      null,
-                                      null)));
-                    });
-            case CONDITION_FAILED ->
-                submissions.forEach(
-                    submission -> {
-                      String uid = submission.record().spec().uid();
-                      if (outcome.failedKeys().contains(JobRecord.LIVE_PREFIX + uid)
-                          || outcome.failedKeys().contains(JobRecord.ENDED_PREFIX + uid)) {
-                        respondWithStatus(uid, submission.done());
-                      } else {
-                        pendingSubmissions.add(submission);
-                      }
-                    });
-            default ->
-                submissions.forEach(
-                    submission -> submission.done().accept(ServerResponse.retryAfter(1)));
-          }
+          submissions.forEach(submission -> respondToSubmission(submission, outcome));
           writeSubmissions();
         });
   }
 
+  /** Takes as many pending submissions of different jobs as one transaction may write. */
+  private List<PendingSubmission> takeSubmissions() {
+    List<PendingSubmission> submissions = new ArrayList<>();
+    Set<String> uids = new HashSet<>();
+    while (!pendingSubmissions.isEmpty()
+        && submissions.size() < store.maxWritesPerTransaction()
+        // A repeated submission waits: the next transaction finds the job stored.
+        && uids.add(pendingSubmissions.peek().uid())) {
+      submissions.add(pendingSubmissions.poll());
+    }
+    return submissions;
+  }
+
+  private void respondToSubmission(PendingSubmission submission, TransactionOutcome outcome) {
+    switch (outcome.kind()) {
+      case APPLIED -> respondAccepted(submission);
+      case CONDITION_FAILED -> {
+        if (outcome.failedKeys().contains(JobRecord.LIVE_PREFIX + submission.uid())
+            || outcome.failedKeys().contains(JobRecord.ENDED_PREFIX + submission.uid())) {
+          respondWithStatus(submission.uid(), submission.done());
+        } else {
+          pendingSubmissions.add(submission);
+        }
+      }
+      default -> submission.done().accept(ServerResponse.retryAfter(1));
+    }
+  }
+
+  private static void respondAccepted(PendingSubmission submission) {
+    LOG.debug("job accepted: job={}", submission.uid());
+    UserMessages.Status status =
+        UserMessages.Status.of(submission.uid(), JobStatus.PENDING, null, null);
+    submission.done().accept(ServerResponse.of(HttpStatus.CREATED, status));
+  }
+
   private void respondWithStatus(String uid, Consumer<ServerResponse> done) {
     if (!SubmissionValidator.isUid(uid)) {
       done.accept(ServerResponse.ofStatus(HttpStatus.NOT_FOUND));
--- a/src/main/java/dev/windbend/job/JobRecord.java
+++ b/src/main/java/dev/windbend/job/JobRecord.java
@@ -52,11 +52,11 @@
    *     of its machine in {@code nameSuffixes}
    */
   public record PlacementBatch(
-      /** Number of elements of {@link #runData} for each run. */
       @JsonProperty("a") long attempt,
       @JsonProperty("x") String namePrefix,
       @JsonProperty("m") List<String> nameSuffixes,
       @JsonProperty("p") long[] runData) {
+    /** Number of elements of {@link #runData} for each run. */
     static final int NUMBERS_PER_RUN = 3;
 
     /**
--- a/src/main/java/dev/windbend/job/UserMessages.java
+++ b/src/main/java/dev/windbend/job/UserMessages.java
@@ -43,12 +43,12 @@
    *     reason to report
    */
   record Status(
-      /** Returns a status without a reason. */
       @JsonProperty("uid") String uid,
       @JsonProperty("status") String status,
       @JsonProperty("done") Integer done,
       @JsonProperty("running") Integer running,
       @JsonProperty("reason") String reason) {
+    /** Returns a status without a reason. */
     static Status of(String uid, String status, Integer done, Integer running) {
       return new Status(uid, status, done, running, null);
     }
