--- a/src/test/java/dev/windbend/daemon/LoopbackCluster.java
+++ b/src/test/java/dev/windbend/daemon/LoopbackCluster.java
@@ -105,6 +105,22 @@
     return LOOPBACK_HOST + address.getPort();
   }
 
+  /** Returns the address on which a controller serves users and workers. */
+  InetSocketAddress clientAddress(int controllerIndex) {
+    return socketAddress(controllers.get(controllerIndex).clientAddress);
+  }
+
+  /** Returns the address on which a controller serves other controllers and operators. */
+  InetSocketAddress peerAddress(int controllerIndex) {
+    return socketAddress(controllers.get(controllerIndex).peerAddress);
+  }
+
+  private static InetSocketAddress socketAddress(String hostAndPort) {
+    int colon = hostAndPort.lastIndexOf(':');
+    return new InetSocketAddress(
+        hostAndPort.substring(0, colon), Integer.parseInt(hostAndPort.substring(colon + 1)));
+  }
+
   private static String pathWithQuery(ServerRequest request) {
     String query =
         request.query().entrySet().stream()
