One owner for each HTTP exchange: no response but one that windbend built

Cause: HttpServer had Undertow's receiver read the body. If the body was there at once, its callback ran outside of a handler. If not, the callback ran within a second handler call (Connectors.executeRootHandler from AsyncReceiverImpl), and Undertow ends an exchange whose handler returns without a response, with its default: 200 and no body. Every handler that responds later was reached: submissions, cancellations, questions, held heartbeats. The handler's own response then found the exchange ended and was dropped without a word. Likewise a handler that threw in such a call gave 500, one that threw otherwise or never responded left its connection open for ever.

Evidence: a stack trace of the response on the former sources (endExchange from executeRootHandler from AsyncReceiverImpl, both cases of SplitRequestTest).

Fix: a ServerExchange owns each exchange from its head on. It reads the body itself (RequestBodyReader), outside of any handler call of the library, and sends either the handler's first response or a rejection it built: 503 if the handler throws or has not responded within 10 s, 408 if the body is not complete within 10 s, 413, 400. Should the library end an exchange nevertheless, a default response listener puts 503 in place of its 200. A second or late response is logged and counted, a client that doesn't take its response is cut off after 10 s, the rest of a rejected body is discarded for 1 s at most.

New metrics windbend.http.*, log lines in docs/operations.md; the two exact lists of metrics in OuterSurfaceTest have the six that are always there.

--- a/src/main/java/dev/windbend/daemon/ClassArchiveTraining.java
+++ b/src/main/java/dev/windbend/daemon/ClassArchiveTraining.java
@@ -2,6 +2,7 @@
 
 import dev.windbend.runtime.EventLoop;
 import dev.windbend.runtime.HttpClient;
+import dev.windbend.runtime.HttpServerMonitor;
 import dev.windbend.shard.Policy;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -113,7 +114,8 @@
   }
 
   private void start() {
-    InetSocketAddress servicesAddress = thread.listen(ANY_PORT, services::handle);
+    InetSocketAddress servicesAddress =
+        thread.listen(ANY_PORT, services::handle, HttpServerMonitor.NONE);
     startController(servicesAddress);
     loop.every(REQUEST_INTERVAL_MS, this::sendRequests);
     loop.after(FAILOVER_AFTER_MS, () -> startController(servicesAddress));
@@ -133,7 +135,8 @@
       throw new IllegalStateException(e);
     }
     Controller controller = new Controller(settings, policy, loop, http);
-    InetSocketAddress address = thread.listen(ANY_PORT, controller.clientEndpoints());
+    InetSocketAddress address =
+        thread.listen(ANY_PORT, controller.clientEndpoints(), controller.httpServerMonitor());
     controllerAddress = LOOPBACK + address.getPort();
     loop.after(0, controller::start);
   }
--- a/src/main/java/dev/windbend/daemon/Controller.java
+++ b/src/main/java/dev/windbend/daemon/Controller.java
@@ -13,6 +13,7 @@
 import dev.windbend.plan.RunTimeEstimates;
 import dev.windbend.runtime.EventLoop;
 import dev.windbend.runtime.HttpClient;
+import dev.windbend.runtime.HttpServerMonitor;
 import dev.windbend.runtime.HttpStatus;
 import dev.windbend.runtime.NameIndex;
 import dev.windbend.runtime.RequestHandler;
@@ -55,6 +56,7 @@
   private final ShardContext shardContext;
   private final RequestHandler clientEndpoints;
   private final RequestHandler peerEndpoints;
+  private final HttpServerMonitor httpServerMonitor;
 
   /**
    * Creates a controller that has not started yet.
@@ -100,6 +102,7 @@
         new MetricsEndpoint(leaders, store, zoneMetrics, policy.zones().enabled());
     this.clientEndpoints = metricsEndpoint.countingResponses(newClientEndpoints(progress));
     this.peerEndpoints = newPeerEndpoints(metricsEndpoint);
+    this.httpServerMonitor = metricsEndpoint.httpServerMonitor();
   }
 
   /** Starts reading the state service and taking part in leader elections. */
@@ -120,6 +123,11 @@
     return peerEndpoints;
   }
 
+  /** Returns the observer of the servers that pass requests to the two handlers. */
+  HttpServerMonitor httpServerMonitor() {
+    return httpServerMonitor;
+  }
+
   private static List<String> teamNames(Settings.Deployment deployment) {
     List<String> names = new ArrayList<>();
     for (Settings.Team team : deployment.teams()) {
--- a/src/main/java/dev/windbend/daemon/IoThread.java
+++ b/src/main/java/dev/windbend/daemon/IoThread.java
@@ -2,6 +2,7 @@
 
 import dev.windbend.runtime.HttpClient;
 import dev.windbend.runtime.HttpServer;
+import dev.windbend.runtime.HttpServerMonitor;
 import dev.windbend.runtime.RequestHandler;
 import dev.windbend.runtime.UndertowHttpClient;
 import dev.windbend.runtime.XnioEventLoop;
@@ -87,7 +88,7 @@
    * @param address host and port; port 0 selects a free port
    * @return the address that the server listens on
    */
-  InetSocketAddress listen(String address, RequestHandler handler) {
-    return HttpServer.listen(worker, buffers, address, handler);
+  InetSocketAddress listen(String address, RequestHandler handler, HttpServerMonitor monitor) {
+    return HttpServer.listen(worker, buffers, address, handler, monitor);
   }
 }
--- a/src/main/java/dev/windbend/daemon/Main.java
+++ b/src/main/java/dev/windbend/daemon/Main.java
@@ -93,8 +93,12 @@
   private static void startController(Settings settings, Policy policy, IoThread thread) {
     EventLoop loop = thread.loop();
     Controller controller = new Controller(settings, policy, loop, thread.httpClient());
-    thread.listen(settings.peerListenAddress(), controller.peerEndpoints());
-    thread.listen(settings.clientListenAddress(), controller.clientEndpoints());
+    thread.listen(
+        settings.peerListenAddress(), controller.peerEndpoints(), controller.httpServerMonitor());
+    thread.listen(
+        settings.clientListenAddress(),
+        controller.clientEndpoints(),
+        controller.httpServerMonitor());
     loop.after(0, controller::start);
   }
 
--- a/src/main/java/dev/windbend/daemon/MetricsEndpoint.java
+++ b/src/main/java/dev/windbend/daemon/MetricsEndpoint.java
@@ -1,5 +1,6 @@
 package dev.windbend.daemon;
 
+import dev.windbend.runtime.HttpServerMonitor;
 import dev.windbend.runtime.HttpStatus;
 import dev.windbend.runtime.RequestHandler;
 import dev.windbend.runtime.ServerRequest;
@@ -21,6 +22,7 @@
 /** Serves this controller's metrics as one JSON object with a field for each metric. */
 final class MetricsEndpoint implements RequestHandler {
   private final MeterRegistry registry = new SimpleMeterRegistry();
+  private final HttpServerMetrics httpServerMetrics = new HttpServerMetrics(registry);
   private final Map<Integer, Counter> responsesByStatus = new HashMap<>();
   private final ZoneMetrics zoneMetrics;
   private final boolean zoneMonitoringEnabled;
@@ -48,6 +50,11 @@
     Gauge.builder("windbend.store.failing.ms", store, StoreClient::failingForMs).register(registry);
   }
 
+  /** Returns the observer that counts the requests and responses of this controller's servers. */
+  HttpServerMonitor httpServerMonitor() {
+    return httpServerMetrics;
+  }
+
   /** Returns a handler that delegates to another one and counts its responses by status. */
   RequestHandler countingResponses(RequestHandler handler) {
     return (request, done) ->
--- a/src/main/java/dev/windbend/runtime/HttpStatus.java
+++ b/src/main/java/dev/windbend/runtime/HttpStatus.java
@@ -17,6 +17,9 @@
   /** The path does not support the method. */
   public static final int METHOD_NOT_ALLOWED = 405;
 
+  /** The request was not complete within the time limit. */
+  public static final int REQUEST_TIMEOUT = 408;
+
   /** A compare-and-swap failed, or the id belongs to another job. */
   public static final int CONFLICT = 409;
 
--- a/src/test/java/dev/windbend/daemon/LoopbackCluster.java
+++ b/src/test/java/dev/windbend/daemon/LoopbackCluster.java
@@ -2,6 +2,7 @@
 
 import dev.windbend.runtime.ClientResponse;
 import dev.windbend.runtime.HttpServer;
+import dev.windbend.runtime.HttpServerMonitor;
 import dev.windbend.runtime.RequestHandler;
 import dev.windbend.runtime.ServerRequest;
 import dev.windbend.runtime.ServerResponse;
@@ -101,7 +102,8 @@
   }
 
   private String listen(RequestHandler handler) {
-    InetSocketAddress address = HttpServer.listen(worker, buffers, LOOPBACK_HOST + 0, handler);
+    InetSocketAddress address =
+        HttpServer.listen(worker, buffers, LOOPBACK_HOST + 0, handler, HttpServerMonitor.NONE);
     return LOOPBACK_HOST + address.getPort();
   }
 
--- a/src/test/java/dev/windbend/daemon/OuterSurfaceTest.java
+++ b/src/test/java/dev/windbend/daemon/OuterSurfaceTest.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import dev.windbend.runtime.ClientResponse;
 import dev.windbend.runtime.HttpServer;
+import dev.windbend.runtime.HttpServerMonitor;
 import dev.windbend.runtime.ServerRequest;
 import dev.windbend.runtime.ServerResponse;
 import io.undertow.server.DefaultByteBufferPool;
@@ -219,6 +220,12 @@
         .containsExactly(
             "windbend.answers.200.count",
             "windbend.answers.404.count",
+            "windbend.http.requests.broken.count",
+            "windbend.http.requests.complete.count",
+            "windbend.http.requests.timed_out.count",
+            "windbend.http.requests.too_large.count",
+            "windbend.http.responses.dropped.client_gone.count",
+            "windbend.http.responses.dropped.late.count",
             "windbend.jobs.live.value",
             "windbend.machines.at.task.limit.value",
             "windbend.machines.value",
@@ -234,6 +241,12 @@
     cluster.time.runUntil(4_000);
     assertThat(metricNames(cluster))
         .containsExactly(
+            "windbend.http.requests.broken.count",
+            "windbend.http.requests.complete.count",
+            "windbend.http.requests.timed_out.count",
+            "windbend.http.requests.too_large.count",
+            "windbend.http.responses.dropped.client_gone.count",
+            "windbend.http.responses.dropped.late.count",
             "windbend.jobs.live.value",
             "windbend.machines.at.task.limit.value",
             "windbend.machines.value",
@@ -346,7 +359,8 @@
                   done.accept(
                       request.path().equals("/later")
                           ? ServerResponse.retryAfter(7)
-                          : ServerResponse.ofStatus(200)));
+                          : ServerResponse.ofStatus(200)),
+              HttpServerMonitor.NONE);
       HttpResponse<String> retryLaterResponse = post(address, "/later", 2);
       assertThat(retryLaterResponse.statusCode()).isEqualTo(503);
       assertThat(retryLaterResponse.headers().firstValue("Retry-After")).hasValue("7");
--- a/src/test/java/dev/windbend/runtime/RawHttpConnection.java
+++ b/src/test/java/dev/windbend/runtime/RawHttpConnection.java
@@ -118,6 +118,23 @@
     return value;
   }
 
+  /**
+   * Reads until the server ends the connection, and returns all that was received.
+   *
+   * @throws SocketTimeoutException if the server leaves the connection open
+   */
+  public String readUntilClosed() throws IOException {
+    ByteArrayOutputStream received = new ByteArrayOutputStream();
+    try {
+      socket.getInputStream().transferTo(received);
+    } catch (SocketTimeoutException e) {
+      throw e;
+    } catch (IOException e) {
+      // A reset ends the connection as well.
+    }
+    return received.toString(StandardCharsets.ISO_8859_1);
+  }
+
   /** Returns whether the server ends the connection within the read timeout. */
   public boolean awaitClose() throws IOException {
     InputStream input = socket.getInputStream();
