A response of the state service counts only with the body that the protocol gives

Cause: fields missing from a response were read as 0. A transaction answered 200 with {} counted as applied, so that a job would have been confirmed (201) that nobody stored; a read answered 404 without a body as 'no such key', which users are told as 404; a lease granted with {} as lease 0; a renewal as done on the status alone; a watch answered 200 with {} as a replica complete up to now; a watch event without a version ended the replica's loop by an exception; and a controller that answered {} as one that the state service serves at this moment.

A renewal needs a JSON object, whose lease, if named, is the renewed one.

Two tests pinned {} as readable messages (readsMessagesWithMissingFields); they now pin that {} is rejected, and the messages with the optional fields missing.

--- a/src/main/java/dev/windbend/peer/PeerMessages.java
+++ b/src/main/java/dev/windbend/peer/PeerMessages.java
@@ -24,7 +24,7 @@
    *     revision in the request; null if no complete list is available
    */
   record StoreStatus(
-      @JsonProperty("answered_ms_ago") long lastServedMsAgo,
+      @JsonProperty(value = "answered_ms_ago", required = true) long lastServedMsAgo,
       @JsonProperty("cancelled") List<Cancelled> cancelled) {}
 
   /** Jobs whose cancellation the sender has confirmed to users. */
--- a/src/main/java/dev/windbend/store/StoreClient.java
+++ b/src/main/java/dev/windbend/store/StoreClient.java
@@ -138,9 +138,10 @@
         return ReadResult.found(new VersionedValue(storedKey.value(), storedKey.version()));
       }
     }
-    return response.status() == HttpStatus.NOT_FOUND
-        ? ReadResult.NOT_FOUND
-        : ReadResult.UNAVAILABLE;
+    boolean missing =
+        response.status() == HttpStatus.NOT_FOUND
+            && Json.read(response.body(), StoreMessages.MissingKey.class) != null;
+    return missing ? ReadResult.NOT_FOUND : ReadResult.UNAVAILABLE;
   }
 
   /**
@@ -261,13 +262,17 @@
         "/holds/" + lease + "/renew",
         new byte[0],
         TIMEOUT_MS,
-        response ->
-            done.accept(
-                switch (response.status()) {
-                  case HttpStatus.OK -> LeaseRenewal.RENEWED;
-                  case HttpStatus.NOT_FOUND -> LeaseRenewal.EXPIRED;
-                  default -> LeaseRenewal.UNKNOWN;
-                }));
+        response -> done.accept(renewal(response, lease)));
+  }
+
+  private static LeaseRenewal renewal(ClientResponse response, long lease) {
+    if (response.status() == HttpStatus.NOT_FOUND) {
+      return LeaseRenewal.EXPIRED;
+    }
+    StoreMessages.LeaseRenewed renewed =
+        response.ok() ? Json.read(response.body(), StoreMessages.LeaseRenewed.class) : null;
+    boolean confirmed = renewed != null && (renewed.id() == null || renewed.id() == lease);
+    return confirmed ? LeaseRenewal.RENEWED : LeaseRenewal.UNKNOWN;
   }
 
   /**
@@ -291,7 +296,7 @@
   private static WatchResult watchResult(ClientResponse response, long fromRevision) {
     StoreMessages.WatchEvents events =
         response.ok() ? Json.read(response.body(), StoreMessages.WatchEvents.class) : null;
-    if (events == null) {
+    if (events == null || !events.isValid()) {
       WatchResult.Status status =
           response.status() == GONE ? WatchResult.Status.COMPACTED : WatchResult.Status.UNAVAILABLE;
       return new WatchResult(status, List.of(), fromRevision);
--- a/src/main/java/dev/windbend/store/StoreMessages.java
+++ b/src/main/java/dev/windbend/store/StoreMessages.java
@@ -10,9 +10,16 @@
 
   /** A key with its value and the revision of its last change. */
   record StoredKey(
-      @JsonProperty("path") String key,
-      @JsonProperty("v") JsonNode value,
-      @JsonProperty("stamp") long version) {}
+      @JsonProperty(value = "path", required = true) String key,
+      @JsonProperty(value = "v", required = true) JsonNode value,
+      @JsonProperty(value = "stamp", required = true) long version) {}
+
+  /**
+   * Response to a read of a key that does not exist.
+   *
+   * @param revision the store's revision at which the key did not exist
+   */
+  record MissingKey(@JsonProperty(value = "ledger", required = true) long revision) {}
 
   /**
    * Response to a list request: one page of keys.
@@ -21,9 +28,9 @@
    * @param revision the store's revision at which the page was read
    */
   record KeyList(
-      @JsonProperty("pairs") List<StoredKey> items,
+      @JsonProperty(value = "pairs", required = true) List<StoredKey> items,
       @JsonProperty("has_next") boolean hasMore,
-      @JsonProperty("ledger") long revision) {}
+      @JsonProperty(value = "ledger", required = true) long revision) {}
 
   /** Condition that the key has the version; version 0 requires that the key does not exist. */
   record Condition(@JsonProperty("path") String key, @JsonProperty("stamp") long version) {}
@@ -55,7 +62,8 @@
    * @param failedKeys the keys whose condition did not hold; null if the transaction was applied
    */
   record TransactionResult(
-      @JsonProperty("ledger") long revision, @JsonProperty("failed") List<String> failedKeys) {}
+      @JsonProperty(value = "ledger", required = true) long revision,
+      @JsonProperty("failed") List<String> failedKeys) {}
 
   /**
    * Request for a lease.
@@ -65,7 +73,14 @@
   record LeaseRequest(@JsonProperty("life_ms") long termMs) {}
 
   /** Response that grants a lease. */
-  record LeaseGrant(@JsonProperty("permit") long id) {}
+  record LeaseGrant(@JsonProperty(value = "permit", required = true) long id) {}
+
+  /**
+   * Response that renews a lease.
+   *
+   * @param id the renewed lease; null if the response does not name it
+   */
+  record LeaseRenewed(@JsonProperty("permit") Long id) {}
 
   /**
    * Response to a watch.
@@ -74,5 +89,16 @@
    * @param changes the changes in order of their revisions; null if there are none
    */
   record WatchEvents(
-      @JsonProperty("ledger") long revision, @JsonProperty("log") List<Write> changes) {}
+      @JsonProperty(value = "ledger", required = true) long revision,
+      @JsonProperty("log") List<Write> changes) {
+    /** Returns whether each change names a key and its version. */
+    boolean isValid() {
+      return changes == null || changes.stream().allMatch(WatchEvents::isValid);
+    }
+
+    private static boolean isValid(Write change) {
+      boolean hasKey = change != null && (change.putKey() != null || change.deletedKey() != null);
+      return hasKey && change.version() != null;
+    }
+  }
 }
--- a/src/test/java/dev/windbend/peer/PeerMessagesTest.java
+++ b/src/test/java/dev/windbend/peer/PeerMessagesTest.java
@@ -2,10 +2,13 @@
 
 import static dev.windbend.JsonAssertions.assertDeserializesTo;
 import static dev.windbend.JsonAssertions.assertRoundTrip;
+import static org.assertj.core.api.Assertions.assertThat;
 import static org.junit.jupiter.params.provider.Arguments.arguments;
 
 import dev.windbend.job.Cancellations.Cancelled;
 import dev.windbend.machine.MachineMessages.TaskRequirements;
+import dev.windbend.runtime.Json;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
@@ -95,9 +98,14 @@
     assertDeserializesTo(
         "{}", PeerMessages.StoreStatusRequest.class, new PeerMessages.StoreStatusRequest(0));
     assertDeserializesTo(
-        "{\"cancelled\":null}",
+        "{\"answered_ms_ago\":0,\"cancelled\":null}",
         PeerMessages.StoreStatus.class,
         new PeerMessages.StoreStatus(0, null));
+    assertThat(
+            Json.read(
+                "{\"cancelled\":null}".getBytes(StandardCharsets.UTF_8),
+                PeerMessages.StoreStatus.class))
+        .isNull();
     assertDeserializesTo(
         "{}",
         PeerMessages.ConfirmedCancellations.class,
--- a/src/test/java/dev/windbend/store/StoreMessagesTest.java
+++ b/src/test/java/dev/windbend/store/StoreMessagesTest.java
@@ -4,9 +4,12 @@
 import static dev.windbend.JsonAssertions.assertRoundTrip;
 import static dev.windbend.JsonAssertions.assertSerializesTo;
 import static dev.windbend.JsonAssertions.parseTree;
+import static org.assertj.core.api.Assertions.assertThat;
 import static org.junit.jupiter.params.provider.Arguments.arguments;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import dev.windbend.runtime.Json;
+import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -15,6 +18,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests the JSON of messages to and from the state service, and of stored pages of entries. */
 class StoreMessagesTest {
@@ -105,14 +109,17 @@
   @Test
   void readsMessagesWithMissingFields() {
     assertDeserializesTo(
-        "{}", StoreMessages.StoredKey.class, new StoreMessages.StoredKey(null, null, 0));
+        "{\"ledger\":7}",
+        StoreMessages.TransactionResult.class,
+        new StoreMessages.TransactionResult(7, null));
     assertDeserializesTo(
-        "{}", StoreMessages.KeyList.class, new StoreMessages.KeyList(null, false, 0));
+        "{\"pairs\":[],\"ledger\":7}",
+        StoreMessages.KeyList.class,
+        new StoreMessages.KeyList(List.of(), false, 7));
     assertDeserializesTo(
-        "{}", StoreMessages.TransactionResult.class, new StoreMessages.TransactionResult(0, null));
-    assertDeserializesTo("{}", StoreMessages.LeaseGrant.class, new StoreMessages.LeaseGrant(0));
+        "{\"ledger\":7}", StoreMessages.WatchEvents.class, new StoreMessages.WatchEvents(7, null));
     assertDeserializesTo(
-        "{}", StoreMessages.WatchEvents.class, new StoreMessages.WatchEvents(0, null));
+        "{}", StoreMessages.LeaseRenewed.class, new StoreMessages.LeaseRenewed(null));
     assertDeserializesTo(
         "{\"set\":null,\"permit\":null,\"remove\":null,\"stamp\":null}",
         StoreMessages.Write.class,
@@ -124,6 +131,20 @@
         new StoreMessages.StoredKey("a/b", parseTree("{\"k\":1}"), 412));
   }
 
+  @ParameterizedTest(name = "{0}")
+  @ValueSource(
+      classes = {
+        StoreMessages.StoredKey.class,
+        StoreMessages.MissingKey.class,
+        StoreMessages.KeyList.class,
+        StoreMessages.TransactionResult.class,
+        StoreMessages.LeaseGrant.class,
+        StoreMessages.WatchEvents.class,
+      })
+  void rejectsResponseWithoutItsRequiredFields(Class<?> type) {
+    assertThat(Json.read("{}".getBytes(StandardCharsets.UTF_8), type)).isNull();
+  }
+
   /** Null fields are omitted, also within values. Of two conditions on a key the first is kept. */
   @Test
   void buildsTransaction() {
