--- a/src/test/java/dev/windbend/ArchitectureTest.java
+++ b/src/test/java/dev/windbend/ArchitectureTest.java
@@ -10,6 +10,8 @@
 import com.tngtech.archunit.junit.AnalyzeClasses;
 import com.tngtech.archunit.junit.ArchTest;
 import com.tngtech.archunit.lang.ArchRule;
+import dev.windbend.worker.TaskReconciler;
+import dev.windbend.worker.WorkerMessages;
 import java.util.Set;
 
 /** Checks the dependencies between packages and which types may use Jackson annotations. */
@@ -67,6 +69,28 @@
                         && !name.startsWith("it.unimi.dsi.fastutil");
                   }));
 
+  /** A start that left by any other way than a heartbeat response could be executed late. */
+  @ArchTest
+  static final ArchRule STARTS_ARE_BUILT_ONLY_BY_THE_TASK_RECONCILER =
+      noClasses()
+          .that()
+          .doNotHaveFullyQualifiedName(TaskReconciler.class.getName())
+          .should()
+          .callMethod(WorkerMessages.Command.class, "start", String.class, long.class);
+
+  @ArchTest
+  static final ArchRule STARTS_LEAVE_ONLY_IN_HEARTBEAT_RESPONSES =
+      noClasses()
+          .that()
+          .haveSimpleNameNotEndingWith("HeartbeatResponseBuilder")
+          .should()
+          .callMethodWhere(
+              describe(
+                  "TaskReconciler.addStarts",
+                  call ->
+                      call.getTargetOwner().getSimpleName().equals("TaskReconciler")
+                          && call.getTarget().getName().equals("addStarts")));
+
   @ArchTest
   static final ArchRule NO_OTHER_PACKAGE_DEPENDS_ON_DAEMON =
       noClasses()
--- a/src/test/java/dev/windbend/daemon/FakeWorker.java
+++ b/src/test/java/dev/windbend/daemon/FakeWorker.java
@@ -166,14 +166,26 @@
     }
     if (!hung && cluster.time.nowMs() - leaseStartMs > SimulatedCluster.LEASE_MS) {
       cluster.expiredLeasesWithTasks += tasks.isEmpty() ? 0 : 1;
-      tasks.values().forEach(this::stopTask);
-      tasks.clear();
-      incarnation++;
-      leaseStartMs = cluster.time.nowMs();
+      beginIncarnation();
     }
     cluster.time.schedule(200, this::checkLease);
   }
 
+  private void beginIncarnation() {
+    tasks.values().forEach(this::stopTask);
+    tasks.clear();
+    incarnation++;
+    leaseStartMs = cluster.time.nowMs();
+  }
+
+  /** Stops all tasks, as when the machine restarts, and sends a heartbeat after the delay. */
+  void restart(long delayMs) {
+    if (!terminated && started) {
+      beginIncarnation();
+      scheduleHeartbeat(delayMs);
+    }
+  }
+
   /** Schedules the next heartbeat in place of one that is already scheduled. */
   private void scheduleHeartbeat(long delayMs) {
     long schedule = ++heartbeatSchedule;
--- a/src/test/java/dev/windbend/daemon/SimulatedCluster.java
+++ b/src/test/java/dev/windbend/daemon/SimulatedCluster.java
@@ -96,6 +96,12 @@
   /** Probability that a direct command gets no response and is executed 2 to 16 s later. */
   double delayedCommandProbability;
 
+  /**
+   * Probability that a scale-out or scale-in request to the cloud gets no response and is executed
+   * 4 to 60 s later.
+   */
+  double delayedCloudCallProbability;
+
   /**
    * Whether a user, when the job is accepted or ends, queries all controllers and submits the job
    * to each of them again within milliseconds.
@@ -366,6 +372,15 @@
           () -> delivery.deliver(from, address, method, path, body, response -> {}));
       return;
     }
+    if (delayedCloudCallProbability > 0
+        && receiver.equals("cloud")
+        && method.equals("POST")
+        && random.nextDouble() < delayedCloudCallProbability) {
+      time.schedule(
+          4_000L + random.nextInt(56_000),
+          () -> delivery.deliver(from, address, method, path, body, response -> {}));
+      return;
+    }
     long delayMs = 1L + random.nextInt(10);
     if (maxStateServiceDelayMs > 0 && receiver.equals("state")) {
       delayMs += random.nextInt((int) maxStateServiceDelayMs);
