Log lines that would have told the incident's story

The records could not tell why mast-1 answered 200: an accepted job was logged at debug level only, without the revision at which it was stored, and neither a response nor a read of the state service was logged at all.

'job accepted' is now logged at info level with its revision, likewise a stored cancellation, and the status line of a shard names its token.

--- a/src/main/java/dev/windbend/job/JobHandler.java
+++ b/src/main/java/dev/windbend/job/JobHandler.java
@@ -194,7 +194,7 @@
 
   private void respondToSubmission(PendingSubmission submission, TransactionOutcome outcome) {
     switch (outcome.kind()) {
-      case APPLIED -> respondAccepted(submission);
+      case APPLIED -> respondAccepted(submission, outcome.revision());
       case CONDITION_FAILED -> {
         if (outcome.failedKeys().contains(JobRecord.LIVE_PREFIX + submission.uid())
             || outcome.failedKeys().contains(JobRecord.ENDED_PREFIX + submission.uid())) {
@@ -203,12 +203,15 @@
           pendingSubmissions.add(submission);
         }
       }
-      default -> submission.done().accept(ServerResponse.retryAfter(1));
+      default -> {
+        LOG.debug("submission not stored: job={} outcome={}", submission.uid(), outcome.kind());
+        submission.done().accept(ServerResponse.retryAfter(1));
+      }
     }
   }
 
-  private static void respondAccepted(PendingSubmission submission) {
-    LOG.debug("job accepted: job={}", submission.uid());
+  private static void respondAccepted(PendingSubmission submission, long revision) {
+    LOG.info("job accepted: job={} revision={}", submission.uid(), revision);
     UserMessages.Status status =
         UserMessages.Status.of(submission.uid(), JobStatus.PENDING, null, null);
     submission.done().accept(ServerResponse.of(HttpStatus.CREATED, status));
@@ -243,7 +246,7 @@
               transaction,
               outcome -> {
                 if (outcome.applied()) {
-                  LOG.info("job cancellation stored: job={}", uid);
+                  LOG.info("job cancellation stored: job={} revision={}", uid, outcome.revision());
                   confirmCancellation(uid, outcome.revision());
                   done.accept(
                       ServerResponse.of(
@@ -260,6 +263,12 @@
   }
 
   private ServerResponse statusResponse(String uid, JobLookup.Result result) {
+    LOG.debug(
+        "job read for a response: job={} conclusive={} live_version={} ended={}",
+        uid,
+        result.conclusive(),
+        result.liveValue() == null ? 0 : result.liveValue().version(),
+        result.ended() != null);
     if (!result.conclusive()) {
       return ServerResponse.retryAfter(1);
     }
--- a/src/main/java/dev/windbend/runtime/ServerExchange.java
+++ b/src/main/java/dev/windbend/runtime/ServerExchange.java
@@ -145,6 +145,12 @@
       exchange.endExchange();
       return;
     }
+    LOG.debug(
+        "response sent: method={} path={} status={} after_ms={}",
+        exchange.getRequestMethod(),
+        exchange.getRequestPath(),
+        response.status(),
+        loop.nowMs() - startMs);
     monitor.responseSent(exchange.getRequestPath(), response.status());
     exchange.setStatusCode(response.status());
     exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
--- a/src/main/java/dev/windbend/shard/ShardStatusLog.java
+++ b/src/main/java/dev/windbend/shard/ShardStatusLog.java
@@ -100,7 +100,7 @@
     LOG.info(
         "shard status: shard={} jobs={} waiting_cores={} placed_cores={} machines_up={}"
             + " machines_booting={} machines_unavailable={} machines_at_task_limit={} cycle_ms={}"
-            + " pages={}",
+            + " pages={} token={}",
         state.shard(),
         state.jobs().all().size(),
         Math.round(waitingCores),
@@ -110,7 +110,8 @@
         unavailable,
         atTaskLimit,
         scheduling.lastCycleDurationMs(),
-        pages.pagesInUse());
+        pages.pagesInUse(),
+        state.token());
   }
 
   private void logOldestWaitingJob(long nowMs) {
--- a/src/main/java/dev/windbend/store/StoreClient.java
+++ b/src/main/java/dev/windbend/store/StoreClient.java
@@ -334,6 +334,12 @@
         body,
         timeoutMs,
         response -> {
+          LOG.debug(
+              "state service responded: method={} path={} status={} after_ms={}",
+              method,
+              path,
+              response.status(),
+              loop.nowMs() - sentMs);
           if (response.status() == HttpStatus.TOO_MANY_REQUESTS) {
             LOG.debug("state service rate limit exceeded: path={}", path);
             pacer.onRateLimited(writeCount > 0);
--- a/src/main/java/dev/windbend/worker/DirectStopClient.java
+++ b/src/main/java/dev/windbend/worker/DirectStopClient.java
@@ -7,6 +7,8 @@
 import dev.windbend.runtime.MessageLimits;
 import java.util.ArrayDeque;
 import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Sends stop commands for tasks of cancelled jobs directly to workers. The response to the next
@@ -18,6 +20,7 @@
  * effort: the next heartbeat response repeats each stop that is lost or discarded here.
  */
 public final class DirectStopClient {
+  private static final Logger LOG = LoggerFactory.getLogger(DirectStopClient.class);
   static final String PATH = "/commands";
   private static final long CALL_TIMEOUT_MS = 2_000;
   private static final int MAX_CALLS_IN_PROGRESS = 12;
@@ -60,6 +63,8 @@
   }
 
   void send(String address, long token, long incarnation, List<WorkerMessages.Command> stops) {
+    LOG.debug(
+        "stopping tasks directly: address={} stops={} token={}", address, stops.size(), token);
     long expiresMs = loop.nowMs() + maxQueueTimeMs;
     for (List<WorkerMessages.Command> part :
         CommandBatch.divide(stops, MessageLimits.MAX_REQUEST_BYTES)) {
--- a/src/main/java/dev/windbend/worker/HeartbeatResponseBuilder.java
+++ b/src/main/java/dev/windbend/worker/HeartbeatResponseBuilder.java
@@ -39,6 +39,11 @@
     if (!machine.terminating() && !machine.cordoned() && machine.recorded()) {
       reconciler.addStarts(machine, heartbeat, batch);
     }
+    LOG.debug(
+        "leader responds to heartbeat: machine={} commands={} token={}",
+        machine.name(),
+        batch.commands(),
+        machine.token(token));
     return renewalResponse(machine, batch);
   }
 
@@ -55,7 +60,15 @@
    * sent, because the situation may change while a heartbeat is held.
    */
   ServerResponse restrictedResponse(Machine machine, Heartbeat heartbeat) {
-    if (!leadership.mayAct() && !leadership.mayRenewWorkerLeases()) {
+    boolean mayAct = leadership.mayAct();
+    boolean mayRenew = mayAct || leadership.mayRenewWorkerLeases();
+    LOG.debug(
+        "restricted response to heartbeat: machine={} token={} may_act={} may_renew={}",
+        machine.name(),
+        machine.token(token),
+        mayAct,
+        mayRenew);
+    if (!mayRenew) {
       return ServerResponse.ofStatus(HttpStatus.SERVICE_UNAVAILABLE);
     }
     CommandBatch batch = newBatch();
