Sound submissions are accepted in any spelling; a repeated one never gets 400

A job whose record exceeds value_kb got 503 as often as it was sent.

Cause: SubmissionValidator asked for an integer token and had two limits of its own; Jackson's default limits apply to fields that must be ignored, in heartbeats too; a malformed submission was answered without a look whether its job is known; the record's size was left to the state service.

Fix: a count is a number with an integral value; Jackson's limits follow the size of a request, which bounds names, numbers and nesting alike; a rejection of any kind looks up the job if the id can be read and answers with its status if it is known; a record over value_kb is rejected with 400.

--- a/src/main/java/dev/windbend/daemon/Controller.java
+++ b/src/main/java/dev/windbend/daemon/Controller.java
@@ -200,7 +200,8 @@
             cancellations,
             cancellationBroadcaster::broadcast,
             new JobAdmission(layout, settings.deployment().teams(), catalog),
-            spec -> pendingReason.reasonFor(spec).orElse(null));
+            spec -> pendingReason.reasonFor(spec).orElse(null),
+            shardContext.deployment().store().maxValueBytes());
     ConcurrencyLimiter limiter =
         new ConcurrencyLimiter(loop, JobHandler::isSubmission, jobHandler::handle);
     return new RequestRouter()
--- a/src/main/java/dev/windbend/job/JobHandler.java
+++ b/src/main/java/dev/windbend/job/JobHandler.java
@@ -2,6 +2,7 @@
 
 import dev.windbend.runtime.EventLoop;
 import dev.windbend.runtime.HttpStatus;
+import dev.windbend.runtime.Json;
 import dev.windbend.runtime.ServerRequest;
 import dev.windbend.runtime.ServerResponse;
 import dev.windbend.store.Replica;
@@ -27,10 +28,12 @@
   private static final Logger LOG = LoggerFactory.getLogger(JobHandler.class);
   private static final String JOBS_PATH = "/v1/jobs";
   private static final int MAX_CANCEL_ATTEMPTS = 8;
+  private static final String TOO_LARGE = "names of image and machine types too long to be stored";
 
   private final EventLoop loop;
   private final StoreClient store;
   private final AdmissionPolicy admission;
+  private final int maxRecordBytes;
   private final ArrayDeque<PendingSubmission> pendingSubmissions = new ArrayDeque<>();
   private final JobLookup lookup;
   private final JobProgress progress;
@@ -53,6 +56,7 @@
    *     may lack it; the response to the user does not wait for this
    * @param pendingReason returns the reason why a job is pending, for its user; null if it waits
    *     only for its turn
+   * @param maxRecordBytes maximum size of a value in the state service
    */
   public JobHandler(
       EventLoop loop,
@@ -62,7 +66,8 @@
       Cancellations cancellations,
       Consumer<Cancellations.Cancelled> cancellationBroadcaster,
       AdmissionPolicy admission,
-      Function<JobSpec, String> pendingReason) {
+      Function<JobSpec, String> pendingReason,
+      int maxRecordBytes) {
     this.loop = loop;
     this.store = store;
     this.lookup = new JobLookup(loop, store, replica);
@@ -71,6 +76,7 @@
     this.cancellationBroadcaster = cancellationBroadcaster;
     this.admission = admission;
     this.pendingReason = pendingReason;
+    this.maxRecordBytes = maxRecordBytes;
   }
 
   /** Returns whether this handler serves the path. */
@@ -118,7 +124,7 @@
     try {
       spec = SubmissionValidator.parse(body);
     } catch (SubmissionValidator.MalformedSubmissionException e) {
-      done.accept(problemResponse(HttpStatus.BAD_REQUEST, e.getMessage()));
+      respondToMalformed(e, done);
       return;
     }
     Admission decision = admission.decide(spec);
@@ -127,27 +133,41 @@
       return;
     }
     if (decision instanceof Admission.Rejected rejected) {
-      respondToRejected(spec.uid(), rejected, done);
+      respondToRejected(
+          spec.uid(), problemResponse(HttpStatus.UNPROCESSABLE_CONTENT, rejected.reason()), done);
       return;
     }
-    pendingSubmissions.add(
-        new PendingSubmission(new JobRecord.Live(spec, loop.wallMs(), false), done));
+    JobRecord.Live record = new JobRecord.Live(spec, loop.wallMs(), false);
+    if (Json.write(record).length > maxRecordBytes) {
+      respondToRejected(spec.uid(), problemResponse(HttpStatus.BAD_REQUEST, TOO_LARGE), done);
+      return;
+    }
+    pendingSubmissions.add(new PendingSubmission(record, done));
     writeSubmissions();
   }
 
+  private void respondToMalformed(
+      SubmissionValidator.MalformedSubmissionException malformed, Consumer<ServerResponse> done) {
+    ServerResponse rejection = problemResponse(HttpStatus.BAD_REQUEST, malformed.getMessage());
+    malformed
+        .uid()
+        .ifPresentOrElse(
+            uid -> respondToRejected(uid, rejection, done), () -> done.accept(rejection));
+  }
+
   /**
    * Responds to a rejected submission. A job that already exists stays accepted and its status is
    * returned: the machine types or the teams may have changed since it was accepted.
    */
   private void respondToRejected(
-      String uid, Admission.Rejected rejected, Consumer<ServerResponse> done) {
+      String uid, ServerResponse rejection, Consumer<ServerResponse> done) {
     lookup.find(
         uid,
         result -> {
           if (!result.conclusive()) {
             done.accept(ServerResponse.retryAfter(1));
           } else if (result.liveValue() == null && result.ended() == null) {
-            done.accept(problemResponse(HttpStatus.UNPROCESSABLE_CONTENT, rejected.reason()));
+            done.accept(rejection);
           } else {
             done.accept(statusResponse(uid, result));
           }
--- a/src/main/java/dev/windbend/job/SubmissionValidator.java
+++ b/src/main/java/dev/windbend/job/SubmissionValidator.java
@@ -5,21 +5,37 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.regex.Pattern;
 
 /** Parses and validates submissions. The error message names the first invalid field. */
 final class SubmissionValidator {
   static final int MAX_TASKS = 100_000;
-  private static final int MAX_TEXT_LENGTH = 128;
-  private static final int MAX_TYPES = 16;
   private static final Pattern UID = Pattern.compile("wk-[0-9]{1,18}");
 
   /** A submission is not a JSON object, or one of its fields is missing or invalid. */
   static final class MalformedSubmissionException extends Exception {
     private static final long serialVersionUID = 1L;
 
-    MalformedSubmissionException(String message) {
+    private final String uid;
+
+    MalformedSubmissionException(String message, String uid) {
       super(message, null, false, false);
+      this.uid = uid;
+    }
+
+    /** Returns the submission's valid job id; empty if it has none. */
+    Optional<String> uid() {
+      return Optional.ofNullable(uid);
+    }
+  }
+
+  /** One field of a submission is missing or invalid. */
+  private static final class InvalidFieldException extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    InvalidFieldException(String field) {
+      super("missing or invalid: " + field, null, false, false);
     }
   }
 
@@ -38,14 +54,26 @@
   static JobSpec parse(byte[] body) throws MalformedSubmissionException {
     UserMessages.Submission submission = Json.read(body, UserMessages.Submission.class);
     if (submission == null) {
-      throw new MalformedSubmissionException("not a JSON object");
+      throw new MalformedSubmissionException("not a JSON object", null);
+    }
+    try {
+      return toSpec(submission);
+    } catch (InvalidFieldException e) {
+      throw new MalformedSubmissionException(e.getMessage(), validUid(submission));
     }
+  }
+
+  private static String validUid(UserMessages.Submission submission) {
+    JsonNode uid = submission.uid();
+    return uid != null && uid.isTextual() && isUid(uid.textValue()) ? uid.textValue() : null;
+  }
+
+  private static JobSpec toSpec(UserMessages.Submission submission) throws InvalidFieldException {
     String uid = textValue("uid", submission.uid());
     require(isUid(uid), "uid");
     require("batch".equals(textValue("shape", submission.shape())), "shape");
-    JsonNode tasks = submission.tasks();
-    require(tasks != null && tasks.isIntegralNumber() && tasks.canConvertToInt(), "drops");
-    require(tasks.intValue() >= 1 && tasks.intValue() <= MAX_TASKS, "drops");
+    double tasks = numberValue("drops", submission.tasks());
+    require(tasks == Math.rint(tasks) && tasks >= 1 && tasks <= MAX_TASKS, "drops");
     double cores = numberValue("cores", submission.cores());
     require(cores > 0, "cores");
     return new JobSpec(
@@ -53,7 +81,7 @@
         textValue("fleet", submission.kind()),
         textValue("crew", submission.team()),
         parseUrgency(textValue("urgency", submission.urgency())),
-        tasks.intValue(),
+        (int) tasks,
         cores,
         numberValue("cards", submission.gpus()),
         numberValue("ram_gb", submission.memoryGb()),
@@ -74,39 +102,35 @@
     return node == null || node.isNull() || node.isMissingNode();
   }
 
-  private static void require(boolean valid, String field) throws MalformedSubmissionException {
+  private static void require(boolean valid, String field) throws InvalidFieldException {
     if (!valid) {
-      throw new MalformedSubmissionException("missing or invalid: " + field);
+      throw new InvalidFieldException(field);
     }
   }
 
-  private static String textValue(String field, JsonNode node) throws MalformedSubmissionException {
+  private static String textValue(String field, JsonNode node) throws InvalidFieldException {
     require(
         node != null && node.isTextual() && !node.textValue().isEmpty() && node.size() == 0, field);
-    require(node.textValue().length() <= MAX_TEXT_LENGTH, field);
     return node.textValue();
   }
 
-  private static double numberValue(String field, JsonNode node)
-      throws MalformedSubmissionException {
+  private static double numberValue(String field, JsonNode node) throws InvalidFieldException {
     require(node != null && node.isNumber(), field);
     double value = node.doubleValue();
     require(Double.isFinite(value) && value >= 0 && value <= 1e9, field);
     return value;
   }
 
-  private static boolean booleanValue(String field, JsonNode node)
-      throws MalformedSubmissionException {
+  private static boolean booleanValue(String field, JsonNode node) throws InvalidFieldException {
     require(node != null && node.isBoolean(), field);
     return node.booleanValue();
   }
 
-  private static List<String> textValues(String field, JsonNode node)
-      throws MalformedSubmissionException {
+  private static List<String> textValues(String field, JsonNode node) throws InvalidFieldException {
     if (isAbsent(node)) {
       return null;
     }
-    require(node.isArray() && node.size() <= MAX_TYPES, field);
+    require(node.isArray(), field);
     List<String> values = new ArrayList<>();
     for (JsonNode element : node) {
       values.add(textValue(field, element));
@@ -114,12 +138,12 @@
     return List.copyOf(values);
   }
 
-  private static Urgency parseUrgency(String text) throws MalformedSubmissionException {
+  private static Urgency parseUrgency(String text) throws InvalidFieldException {
     for (Urgency urgency : Urgency.values()) {
       if (urgency.name().toLowerCase(Locale.ROOT).equals(text)) {
         return urgency;
       }
     }
-    throw new MalformedSubmissionException("missing or invalid: urgency");
+    throw new InvalidFieldException("urgency");
   }
 }
--- a/src/main/java/dev/windbend/runtime/Json.java
+++ b/src/main/java/dev/windbend/runtime/Json.java
@@ -1,8 +1,10 @@
 package dev.windbend.runtime;
 
 import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -13,8 +15,22 @@
  * Converts between JSON and Java objects. Unknown fields are ignored and null fields are omitted.
  */
 public final class Json {
+  /**
+   * Jackson's own limits on names, numbers and nesting would reject messages for the content of
+   * unknown fields. The size limit of a request bounds all three.
+   */
+  private static final StreamReadConstraints CONSTRAINTS =
+      StreamReadConstraints.builder()
+          .maxNameLength(MessageLimits.MAX_REQUEST_BYTES)
+          .maxNumberLength(MessageLimits.MAX_REQUEST_BYTES)
+          .maxNestingDepth(MessageLimits.MAX_REQUEST_BYTES)
+          .build();
+
+  private static final JsonFactory FACTORY =
+      JsonFactory.builder().streamReadConstraints(CONSTRAINTS).build();
+
   private static final ObjectMapper MAPPER =
-      JsonMapper.builder()
+      JsonMapper.builder(FACTORY)
           .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
           .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
           .defaultPropertyInclusion(
@@ -38,6 +54,15 @@
     }
   }
 
+  /**
+   * Returns a parser of the tokens of a message.
+   *
+   * @throws IOException if the encoding of the message cannot be determined
+   */
+  public static JsonParser parser(byte[] bytes) throws IOException {
+    return FACTORY.createParser(bytes);
+  }
+
   /** Deserializes a message; returns null if the bytes are not valid JSON for the type. */
   public static <T> T read(byte[] bytes, Class<T> type) {
     try {
--- a/src/main/java/dev/windbend/worker/HeartbeatReader.java
+++ b/src/main/java/dev/windbend/worker/HeartbeatReader.java
@@ -1,9 +1,9 @@
 package dev.windbend.worker;
 
-import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParseException;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
+import dev.windbend.runtime.Json;
 import dev.windbend.worker.WorkerMessages.Heartbeat;
 import dev.windbend.worker.WorkerMessages.TaskState;
 import java.io.IOException;
@@ -17,13 +17,11 @@
  * ignored, and a missing field is read as null.
  */
 public final class HeartbeatReader {
-  private static final JsonFactory FACTORY = new JsonFactory();
-
   private HeartbeatReader() {}
 
   /** Parses a heartbeat; returns null if the bytes do not contain a valid one. */
   public static Heartbeat read(byte[] bytes) {
-    try (JsonParser parser = FACTORY.createParser(bytes)) {
+    try (JsonParser parser = Json.parser(bytes)) {
       if (parser.nextToken() != JsonToken.START_OBJECT) {
         return null;
       }
--- a/src/test/java/dev/windbend/daemon/OuterSurfaceTest.java
+++ b/src/test/java/dev/windbend/daemon/OuterSurfaceTest.java
@@ -304,6 +304,52 @@
     assertThat(response.body()).asString().isEqualTo(expectedBody);
   }
 
+  /** However the repeated submission is written, an accepted job stays accepted. */
+  @ParameterizedTest(name = "{0} -> {1}")
+  @CsvSource(
+      delimiter = '|',
+      quoteCharacter = '`',
+      value = {
+        "'drops':2|'drops':2.0",
+        "'drops':2|'drops':0.2e1",
+        "'uid'|'new_field':[[[{}]]],'uid'",
+        "'drops':2|'drops':0",
+        "'shape':'batch'|'shape':'gang'",
+        "'load':'i'|'load':7",
+        "'crew':'red'|'crew':'pink'",
+        "'cores':1.0|'cores':41.0",
+        "'fleet':'k',|``",
+      })
+  void returns200ToRepeatedSubmissionOfAcceptedJob(String replacedText, String replacement)
+      throws InvalidSettingsException {
+    SimulatedCluster cluster = newCluster("");
+    cluster.start(0, 1);
+    cluster.time.runUntil(4_000);
+    String submission = JOB_JSON.replace('\'', '"');
+    String repeated = JOB_JSON.replace(replacedText, replacement).replace('\'', '"');
+    assertThat(call(cluster, "n0:80", "POST", "/v1/jobs", submission).status()).isEqualTo(201);
+    for (int controller = 0; controller < cluster.controllerCount; controller++) {
+      ClientResponse response =
+          call(cluster, "n" + controller + ":80", "POST", "/v1/jobs", repeated);
+      assertThat(response.status()).isEqualTo(200);
+      assertThat(response.body()).asString().startsWith("{\"uid\":\"wk-000001\",\"status\":");
+    }
+  }
+
+  @ParameterizedTest(name = "name of {0} characters: {1}")
+  @CsvSource({"3000,201", "4096,400", "60000,400"})
+  void rejectsForGoodJobWhoseRecordExceedsTheSizeOfAStoredValue(int nameLength, int status)
+      throws InvalidSettingsException {
+    SimulatedCluster cluster = newCluster("");
+    cluster.start(0, 1);
+    cluster.time.runUntil(4_000);
+    String submission =
+        JOB_JSON
+            .replace("'load':'i'", "'load':'" + "i".repeat(nameLength) + "'")
+            .replace('\'', '"');
+    assertThat(call(cluster, "n0:80", "POST", "/v1/jobs", submission).status()).isEqualTo(status);
+  }
+
   /**
    * The controller gets no response to any of its requests, so it can't answer the user's request
    * yet.
--- a/src/test/java/dev/windbend/job/SubmissionValidatorTest.java
+++ b/src/test/java/dev/windbend/job/SubmissionValidatorTest.java
@@ -1,7 +1,10 @@
 package dev.windbend.job;
 
+import static java.util.stream.Collectors.joining;
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
+import static org.junit.jupiter.api.Assertions.assertTimeout;
+import static org.junit.jupiter.params.provider.Arguments.arguments;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -9,11 +12,17 @@
 import com.fasterxml.jackson.databind.node.IntNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.databind.node.TextNode;
+import dev.windbend.runtime.MessageLimits;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.List;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 class SubmissionValidatorTest {
@@ -46,6 +55,67 @@
         .isNull();
   }
 
+  static Stream<Arguments> spellings() {
+    String longNumber = "7".repeat(3_000);
+    return Stream.of(
+        arguments("count with a fraction", "'drops':16", "'drops':16.0"),
+        arguments("count with an exponent", "'drops':16", "'drops':1.6e1"),
+        arguments("count with a negative exponent", "'drops':16", "'drops':1600E-2"),
+        arguments("count with many zeros", "'drops':16", "'drops':16." + "0".repeat(1_500)),
+        arguments("amount without a fraction", "'cores':8.0", "'cores':8"),
+        arguments("amount with an exponent", "'cores':8.0", "'cores':0.08E+2"),
+        arguments("escaped value", "'uid':'wk-000412'", "'uid':'\\u0077k-000412'"),
+        arguments("escaped name", "'uid':'wk-000412'", "'\\u0075id':'wk-000412'"),
+        arguments("null field left out", "'yard':null,", ""),
+        arguments("white space", "'drops':16", "\n\t'drops' : \r\n16 "),
+        arguments("another order", "{'uid':'wk-000412',", "{'load':'img-07','uid':'wk-000412',"),
+        arguments("long unknown integer", "'new_field':{}", "'new_field':" + longNumber),
+        arguments("long unknown fraction", "'new_field':{}", "'new_field':0." + longNumber),
+        arguments("huge unknown exponent", "'new_field':{}", "'new_field':1e999999999"),
+        arguments("long unknown name", "'new_field':{}", "'" + "n".repeat(60_000) + "':{}"),
+        arguments(
+            "long unknown text", "'new_field':{}", "'new_field':'" + "t".repeat(60_000) + "'"),
+        arguments(
+            "deep unknown arrays", "'new_field':{}", "'new_field':" + nested("[", "]", 30_000)),
+        arguments("deep unknown objects", "'new_field':{}", "'o':" + nested("{'o':", "}", 9_000)));
+  }
+
+  private static String nested(String open, String close, int depth) {
+    return open.repeat(depth) + (open.endsWith(":") ? "1" : "") + close.repeat(depth);
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("spellings")
+  void readsTheSameSubmissionInAnySpelling(String name, String from, String to) throws Exception {
+    assertThat(VALID).contains(from);
+    byte[] body = json(VALID.replace(from, to));
+    assertThat(body.length).isLessThanOrEqualTo(MessageLimits.MAX_REQUEST_BYTES);
+    assertThat(SubmissionValidator.parse(body)).isEqualTo(SubmissionValidator.parse(json(VALID)));
+  }
+
+  @Test
+  void readsLongNames() throws Exception {
+    String image = "registry/" + "i".repeat(1_000);
+    String types = IntStream.range(0, 40).mapToObj(i -> "'g" + i + "'").collect(joining(","));
+    JobSpec spec =
+        SubmissionValidator.parse(
+            json(VALID.replace("img-07", image).replace("['g8']", "[" + types + "]")));
+    assertThat(spec.image()).isEqualTo(image);
+    assertThat(spec.types()).hasSize(40);
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @ValueSource(strings = {"[", "{\"a\":", "9", "{\"drops\":[", "\"a\":1,", "-", "\\u0000"})
+  void boundsTheWorkForAnyBodyOfTheMaximumSize(String repeated) {
+    String body =
+        "{\"drops\":" + repeated.repeat(MessageLimits.MAX_REQUEST_BYTES / repeated.length());
+    assertTimeout(
+        Duration.ofSeconds(2),
+        () ->
+            assertThatThrownBy(() -> SubmissionValidator.parse(json(body)))
+                .isInstanceOf(SubmissionValidator.MalformedSubmissionException.class));
+  }
+
   @ParameterizedTest
   @ValueSource(strings = {"", "{", "[]", "7", "null", "'x'", "{}", "{} {}"})
   void rejectsBodyThatIsNotASubmission(String text) {
--- a/src/test/java/dev/windbend/worker/HeartbeatReaderTest.java
+++ b/src/test/java/dev/windbend/worker/HeartbeatReaderTest.java
@@ -4,6 +4,7 @@
 
 import dev.windbend.runtime.Json;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -37,6 +38,14 @@
     assertThat(HeartbeatReader.read(bytes(json))).isEqualTo(expected);
   }
 
+  @Test
+  void ignoresUnknownFieldsOfAnyDepthAndLength() {
+    for (String value : List.of("[".repeat(20_000) + "]".repeat(20_000), "7".repeat(20_000))) {
+      byte[] heartbeat = bytes("{HEAD\"shift\":1,\"new\":" + value + ",\"drops\":[]}");
+      assertThat(HeartbeatReader.read(heartbeat)).isNotNull();
+    }
+  }
+
   @ParameterizedTest
   @ValueSource(
       strings = {
