The record's size limit is a part of the admission policy

JobHandler had nine parameters and Controller's constructor 41 lines, over Checkstyle's limits. The policy that decides which jobs can be accepted now names the largest record too. No change of behaviour.

Measured: Checkstyle and Error Prone clean; tests of submissions green.

--- a/src/main/java/dev/windbend/daemon/Controller.java
+++ b/src/main/java/dev/windbend/daemon/Controller.java
@@ -56,7 +56,7 @@
   private final ShardContext shardContext;
   private final RequestHandler clientEndpoints;
   private final RequestHandler peerEndpoints;
-  private final HttpServerMonitor httpServerMonitor;
+  private final MetricsEndpoint metricsEndpoint;
 
   /**
    * Creates a controller that has not started yet.
@@ -98,11 +98,10 @@
     replica.addListener(progress::onChange);
     replica.addListener(leaders::keyChanged);
     this.shardContext = newShardContext(cloud, membership.controllerCount());
-    MetricsEndpoint metricsEndpoint =
+    this.metricsEndpoint =
         new MetricsEndpoint(leaders, store, zoneMetrics, policy.zones().enabled());
     this.clientEndpoints = metricsEndpoint.countingResponses(newClientEndpoints(progress));
-    this.peerEndpoints = newPeerEndpoints(metricsEndpoint);
-    this.httpServerMonitor = metricsEndpoint.httpServerMonitor();
+    this.peerEndpoints = newPeerEndpoints();
   }
 
   /** Starts reading the state service and taking part in leader elections. */
@@ -125,7 +124,7 @@
 
   /** Returns the observer of the servers that pass requests to the two handlers. */
   HttpServerMonitor httpServerMonitor() {
-    return httpServerMonitor;
+    return metricsEndpoint.httpServerMonitor();
   }
 
   private static List<String> teamNames(Settings.Deployment deployment) {
@@ -199,9 +198,12 @@
             progress,
             cancellations,
             cancellationBroadcaster::broadcast,
-            new JobAdmission(layout, settings.deployment().teams(), catalog),
-            spec -> pendingReason.reasonFor(spec).orElse(null),
-            shardContext.deployment().store().maxValueBytes());
+            new JobAdmission(
+                layout,
+                settings.deployment().teams(),
+                catalog,
+                shardContext.deployment().store().maxValueBytes()),
+            spec -> pendingReason.reasonFor(spec).orElse(null));
     ConcurrencyLimiter limiter =
         new ConcurrencyLimiter(loop, JobHandler::isSubmission, jobHandler::handle);
     return new RequestRouter()
@@ -213,7 +215,7 @@
         .subtree(JobHandler::handlesPath, limiter::handle);
   }
 
-  private RequestRouter newPeerEndpoints(MetricsEndpoint metricsEndpoint) {
+  private RequestRouter newPeerEndpoints() {
     return new RequestRouter()
         .post(
             StoreOutageDetector.PATH,
--- a/src/main/java/dev/windbend/daemon/JobAdmission.java
+++ b/src/main/java/dev/windbend/daemon/JobAdmission.java
@@ -23,16 +23,28 @@
   private final ShardLayout layout;
   private final List<Settings.Team> teams;
   private final MachineTypeCatalog catalog;
+  private final int maxRecordBytes;
 
   /**
    * Creates an admission policy for a deployment.
    *
    * @param teams the teams, in the order of the layout's team indexes
+   * @param maxRecordBytes maximum size of a value in the state service
    */
-  JobAdmission(ShardLayout layout, List<Settings.Team> teams, MachineTypeCatalog catalog) {
+  JobAdmission(
+      ShardLayout layout,
+      List<Settings.Team> teams,
+      MachineTypeCatalog catalog,
+      int maxRecordBytes) {
     this.layout = layout;
     this.teams = teams;
     this.catalog = catalog;
+    this.maxRecordBytes = maxRecordBytes;
+  }
+
+  @Override
+  public int maxRecordBytes() {
+    return maxRecordBytes;
   }
 
   /**
--- a/src/main/java/dev/windbend/job/JobHandler.java
+++ b/src/main/java/dev/windbend/job/JobHandler.java
@@ -33,7 +33,6 @@
   private final EventLoop loop;
   private final StoreClient store;
   private final AdmissionPolicy admission;
-  private final int maxRecordBytes;
   private final ArrayDeque<PendingSubmission> pendingSubmissions = new ArrayDeque<>();
   private final JobLookup lookup;
   private final JobProgress progress;
@@ -56,7 +55,6 @@
    *     may lack it; the response to the user does not wait for this
    * @param pendingReason returns the reason why a job is pending, for its user; null if it waits
    *     only for its turn
-   * @param maxRecordBytes maximum size of a value in the state service
    */
   public JobHandler(
       EventLoop loop,
@@ -66,8 +64,7 @@
       Cancellations cancellations,
       Consumer<Cancellations.Cancelled> cancellationBroadcaster,
       AdmissionPolicy admission,
-      Function<JobSpec, String> pendingReason,
-      int maxRecordBytes) {
+      Function<JobSpec, String> pendingReason) {
     this.loop = loop;
     this.store = store;
     this.lookup = new JobLookup(loop, store, replica);
@@ -76,7 +73,6 @@
     this.cancellationBroadcaster = cancellationBroadcaster;
     this.admission = admission;
     this.pendingReason = pendingReason;
-    this.maxRecordBytes = maxRecordBytes;
   }
 
   /** Returns whether this handler serves the path. */
@@ -138,7 +134,7 @@
       return;
     }
     JobRecord.Live record = new JobRecord.Live(spec, loop.wallMs(), false);
-    if (Json.write(record).length > maxRecordBytes) {
+    if (Json.write(record).length > admission.maxRecordBytes()) {
       respondToRejected(spec.uid(), problemResponse(HttpStatus.BAD_REQUEST, TOO_LARGE), done);
       return;
     }
