A handler that throws an error is ended at the time limit too

ServerExchange set the limit on a handler's response after the call, so that an error other than a RuntimeException, such as an overflow of the stack, left the exchange without a limit. It is now set whatever the call throws.

Measured: HttpServerTest green, with the case of a stack overflow in each framing.

--- a/src/main/java/dev/windbend/runtime/ServerExchange.java
+++ b/src/main/java/dev/windbend/runtime/ServerExchange.java
@@ -69,9 +69,10 @@
     } catch (RuntimeException e) {
       LOG.error("request handler failed: path={}", exchange.getRequestPath(), e);
       respondIfMissing();
-    }
-    if (!responded) {
-      timeLimit = loop.after(limits.responseMs(), this::responseTimedOut);
+    } finally {
+      if (!responded) {
+        timeLimit = loop.after(limits.responseMs(), this::responseTimedOut);
+      }
     }
   }
 
--- a/src/test/java/dev/windbend/runtime/HttpServerTest.java
+++ b/src/test/java/dev/windbend/runtime/HttpServerTest.java
@@ -100,6 +100,7 @@
         done.accept(echo);
         throw new IllegalStateException("thrown by the test's handler");
       }
+      case "/overflows-the-stack" -> throw new StackOverflowError("thrown by the test's handler");
       case "/large" -> done.accept(new ServerResponse(200, new byte[LARGE_BYTES], 0));
       default -> throw new IllegalStateException("thrown by the test's handler");
     }
@@ -122,6 +123,7 @@
             "/too-late 503",
             "/twice 201",
             "/throws 503",
+            "/overflows-the-stack 503",
             "/throws-after-response 201")
         .map(row -> row.split(" ", 2))
         .flatMap(
