--- a/src/test/java/dev/windbend/daemon/SplitRequestTest.java
+++ b/src/test/java/dev/windbend/daemon/SplitRequestTest.java
@@ -5,6 +5,7 @@
 import dev.windbend.runtime.RawHttpConnection;
 import dev.windbend.runtime.RequestFraming;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
@@ -21,6 +22,7 @@
   private static final int READ_TIMEOUT_MS = 15_000;
   private static final int MAX_START_ATTEMPTS = 100;
   private static final long PAUSE_MS = 100;
+  private static final long WORKER_TIMEOUT_S = 30;
   private static final String ACCEPTED_JOB = "wk-000001";
   private static final String SUBMISSION =
       "{'uid':'%s','fleet':'k','crew':'red','shape':'batch','urgency':'idle','drops':2,"
@@ -33,6 +35,9 @@
 
   private static LoopbackCluster cluster;
 
+  /** Larger than any sequence number of the simulated worker's own heartbeats. */
+  private static long nextHeartbeatSequence = 1_000_000;
+
   @BeforeAll
   static void startClusterAndSubmitJob() throws Exception {
     cluster = new LoopbackCluster(new SimulatedCluster(1));
@@ -136,6 +141,44 @@
     setOutage(false);
   }
 
+  @ParameterizedTest(name = "{0}")
+  @EnumSource(names = {"WHOLE", "SPLIT_IN_BODY", "CHUNKED_SPLIT_IN_CHUNK"})
+  void heldHeartbeatIsAnsweredWithItsToken(RequestFraming framing) throws Exception {
+    FakeWorker worker = startedWorker();
+    List<String> responses = new ArrayList<>();
+    for (int controller = 0; controller < cluster.simulatedCluster.controllerCount; controller++) {
+      String heartbeat =
+          HEARTBEAT
+              .replace("host-999999", worker.name)
+              .replace("\"baton\":0", "\"baton\":" + worker.fencingToken())
+              .replace("\"tally\":1", "\"tally\":" + nextHeartbeatSequence++);
+      RawHttpConnection.Response response =
+          exchange(cluster.clientAddress(controller), framing, "POST", "/hello", heartbeat);
+      responses.add(response.status() + " " + response.body());
+    }
+    assertThat(responses).anyMatch(response -> response.startsWith("200 {\"baton\":"));
+    assertThat(responses).noneMatch(response -> response.equals("200 "));
+  }
+
+  /** Boots a machine if there is none, and waits until a controller has answered its worker. */
+  private static FakeWorker startedWorker() throws Exception {
+    SimulatedCluster simulation = cluster.simulatedCluster;
+    cluster.callOnEventLoop(
+        () -> simulation.machines.isEmpty() ? simulation.bootMachine("a", false) : "");
+    assertThat(
+            cluster.awaitCondition(
+                WORKER_TIMEOUT_S,
+                () -> simulation.machines.values().stream().anyMatch(w -> w.fencingToken() > 0)))
+        .as("a worker has a fencing token")
+        .isTrue();
+    return cluster.callOnEventLoop(
+        () ->
+            simulation.machines.values().stream()
+                .filter(worker -> worker.fencingToken() > 0)
+                .findFirst()
+                .orElseThrow());
+  }
+
   private static RawHttpConnection.Response exchange(
       InetSocketAddress address, RequestFraming framing, String method, String path, String body)
       throws Exception {
