--- /dev/null
+++ b/review/lab2/Checker.java
@@ -0,0 +1,94 @@
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+
+/** Follows which task is on which machine, and applies the rules of the protocol to it. */
+final class Checker {
+  private final Site site;
+  private final Record record;
+
+  /** By task: the machine that it is on since it had its image. */
+  private final Map<String, String> on = new HashMap<>();
+
+  private final Map<String, Double> usedByTeam = new HashMap<>();
+  private final Map<String, Double> cancelledAt = new HashMap<>();
+  private final Set<String> results = new HashSet<>();
+
+  /** Tasks started, by job. */
+  private final Map<String, Integer> started = new HashMap<>();
+
+  /** Broken rules with the first sign of each. */
+  final Map<String, String> broken = new LinkedHashMap<>();
+
+  Checker(Site site, Record record) {
+    this.site = site;
+    this.record = record;
+  }
+
+  synchronized void breaks(String rule, String sign) {
+    record.line("BROKEN %s: %s", rule, sign);
+    broken.putIfAbsent(rule, sign);
+  }
+
+  synchronized void begins(String task, String machine) {
+    String uid = task.substring(0, task.lastIndexOf('/'));
+    String other = on.get(task);
+    if (other != null && !other.equals(machine)) {
+      breaks("ran_twice", task + " starts on " + machine + " while it is on " + other);
+    }
+    on.put(task, machine);
+    started.merge(uid, 1, Integer::sum);
+    Map<String, Object> job = site.job(uid);
+    String crew = (String) job.get("crew");
+    double used = usedByTeam.merge(crew, Json.number(job.get("cores")), Double::sum);
+    for (Site.Team team : site.teams) {
+      if (team.name().equals(crew) && used > team.cpusMax() + 1e-6) {
+        breaks("quota", crew + " uses " + used + " of " + team.cpusMax());
+      }
+    }
+    Double at = cancelledAt.get(uid);
+    if (at != null && record.seconds() > at + site.cancelS) {
+      breaks("ran_cancelled", task + " starts " + (record.seconds() - at) + " s after");
+    }
+  }
+
+  synchronized void ends(String task, String machine) {
+    if (!machine.equals(on.get(task))) {
+      return;
+    }
+    on.remove(task);
+    String uid = task.substring(0, task.lastIndexOf('/'));
+    Map<String, Object> job = site.job(uid);
+    usedByTeam.merge((String) job.get("crew"), -Json.number(job.get("cores")), Double::sum);
+    Double at = cancelledAt.get(uid);
+    if (at != null && record.seconds() > at + site.cancelS) {
+      breaks("ran_cancelled", task + " ends " + (record.seconds() - at) + " s after");
+    }
+  }
+
+  synchronized void completed(String task) {
+    results.add(task);
+  }
+
+  synchronized boolean hasResult(String task) {
+    return results.contains(task);
+  }
+
+  synchronized int completedOf(String uid) {
+    return (int) results.stream().filter(task -> task.startsWith(uid + "/")).count();
+  }
+
+  synchronized int startedOf(String uid) {
+    return started.getOrDefault(uid, 0);
+  }
+
+  synchronized int startedInAll() {
+    return started.values().stream().mapToInt(Integer::intValue).sum();
+  }
+
+  synchronized void cancelled(String uid) {
+    cancelledAt.putIfAbsent(uid, record.seconds());
+  }
+}
