--- a/review/lab2/Checker.java
+++ b/review/lab2/Checker.java
@@ -13,6 +13,9 @@
   private final Map<String, String> on = new HashMap<>();
 
   private final Map<String, Double> usedByTeam = new HashMap<>();
+  /** When the last task of a job left its machine, by job. */
+  private final Map<String, Double> lastOffS = new HashMap<>();
+
   private final Map<String, Double> cancelledAt = new HashMap<>();
   private final Set<String> results = new HashSet<>();
 
@@ -39,6 +42,7 @@
       breaks("ran_twice", task + " starts on " + machine + " while it is on " + other);
     }
     on.put(task, machine);
+    noteSmall(uid, task + " is on " + machine);
     started.merge(uid, 1, Integer::sum);
     Map<String, Object> job = site.job(uid);
     String crew = (String) job.get("crew");
@@ -60,6 +64,8 @@
     }
     on.remove(task);
     String uid = task.substring(0, task.lastIndexOf('/'));
+    lastOffS.put(uid, record.seconds());
+    noteSmall(uid, task + " is off " + machine);
     Map<String, Object> job = site.job(uid);
     usedByTeam.merge((String) job.get("crew"), -Json.number(job.get("cores")), Double::sum);
     Double at = cancelledAt.get(uid);
@@ -68,6 +74,23 @@
     }
   }
 
+  /** The record would become too long with each task of a huge array. */
+  private void noteSmall(String uid, String text) {
+    if (((Number) site.job(uid).get("drops")).intValue() <= 100) {
+      record.line("%s", text);
+    }
+  }
+
+  /** How many tasks of the job are on machines. */
+  synchronized int onMachines(String uid) {
+    return (int) on.keySet().stream().filter(task -> task.startsWith(uid + "/")).count();
+  }
+
+  /** When the job's last task left its machine; negative if one is on a machine or none was. */
+  synchronized double idleSinceS(String uid) {
+    return onMachines(uid) > 0 ? -1 : lastOffS.getOrDefault(uid, -1.0);
+  }
+
   synchronized void completed(String task) {
     results.add(task);
   }
--- a/review/lab2/Site.java
+++ b/review/lab2/Site.java
@@ -70,6 +70,23 @@
     return site;
   }
 
+  /** The lending cluster of the brief. */
+  static Site nile() {
+    Site site =
+        new Site(
+            new String[] {"giza-room"},
+            new double[] {1.5, 14.0, 34.0},
+            new double[] {150.0, 20.0},
+            new double[] {3.0, 4.0},
+            new Rig("papyrus-16", 16, 128, 15, 0.3),
+            List.of(
+                "kind = \"finished\"\nclass = \"loan-tally\"\nwithin_s = 100.0\nshare = 0.8",
+                "kind = \"deadline\"\nclass = \"licence-expiry\"\nshare = 0.98\ntimes = 1.0"));
+    site.teams.add(new Team("members-desk", 176, 448));
+    site.teams.add(new Team("publisher-desk", 320, 888));
+    return site;
+  }
+
   synchronized void submitted(Map<String, Object> job, double taskRunS) {
     jobs.put((String) job.get("uid"), job);
     runS.put((String) job.get("uid"), taskRunS);
--- a/review/lab2/Worker.java
+++ b/review/lab2/Worker.java
@@ -79,6 +79,11 @@
     return Http.address(server);
   }
 
+  /** The controller that the worker reports to, counted from 0. */
+  synchronized int reportsTo() {
+    return node;
+  }
+
   String truck() {
     return name;
   }
@@ -96,6 +101,7 @@
 
   /** Hangs the machine for so long: it neither runs its tasks nor reports. */
   synchronized void hang(double forS) {
+    record.line("%s hangs for %.0f s", name, forS);
     hangUntilS = record.seconds() + forS;
   }
 
@@ -290,7 +296,10 @@
       String task = (String) order.get("drop");
       BigInteger run = Json.count(order.get("run"));
       Drop drop = drops.get(task + " " + run);
-      record.line("%s executes %s", name, Json.write(order));
+      Map<String, Object> job = site.job(task.substring(0, task.lastIndexOf('/')));
+      if (job == null || ((Number) job.get("drops")).intValue() <= 100) {
+        record.line("%s executes %s", name, Json.write(order));
+      }
       switch ((String) order.get("order")) {
         case "start" -> {
           if (drop == null) {
